Add the design page, the root interfaces and the stand-ins

Cause: the packages of the query tier are written side by side and need fixed types, interfaces, message definitions and stand-ins first.

Ruled out: one interface per package; the packages would then import each other.

--- /dev/null
+++ b/doc.go
@@ -0,0 +1,15 @@
+// Package carobbend holds the types and interfaces that the packages of the query tier share.
+//
+// The tier stands between callers and many shards. It asks all shards of an index at once, merges their
+// replies and returns one answer that comes from one snapshot and states its true coverage.
+//
+// # Usage
+//
+// Packages below this one implement the interfaces declared here and depend on each other only through them:
+//
+//	var up carobbend.Upstreams = connector.New(connector.WithLayout(cfg))
+//	reply, err := up.Send(ctx, "upstream-1", carobbend.ShardRequest{Ref: ref, Text: "bar stool"})
+//	if kind := carobbend.KindOf(err); kind == carobbend.FailureShed {
+//		// choose another replica
+//	}
+package carobbend
--- /dev/null
+++ b/emulator/doc.go
@@ -0,0 +1,10 @@
+// Package emulator holds small stand-ins of the systems around the query tier: upstreams, the key-value store and
+// the instance list. Each has knobs for its faults and is also an http.Handler that speaks the published protocol.
+//
+// # Usage
+//
+//	store := emulator.NewStore(emulator.WithRates(2000, 400))
+//	store.LoseReplies(1)
+//	swapped, err := store.CompareAndSwap(ctx, "key", value, 0) // takes effect, reports StoreUnknown
+//	srv := httptest.NewServer(store)                           // Consul KV HTTP API
+package emulator
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,103 @@
+package carobbend
+
+import "time"
+
+// Balancer chooses replicas and learns from what becomes of the requests sent to them.
+type Balancer interface {
+	// Pick chooses one of the candidates for a new request, or false where none should be asked now.
+	// Upstreams in avoid were already asked by this shard request and come last or not at all.
+	Pick(now time.Time, candidates, avoid []UpstreamID) (UpstreamID, bool)
+	// Sent records that a request to id was started.
+	Sent(now time.Time, id UpstreamID)
+	// Finished records the end of a request; latency counts from Sent.
+	Finished(now time.Time, id UpstreamID, latency time.Duration, kind FailureKind, load float64)
+	// Leaving records that id accepts no new work, or that it is back.
+	Leaving(now time.Time, id UpstreamID, leaving bool)
+}
+
+// Hedger decides when a second request may be sent for a slow shard request.
+type Hedger interface {
+	// Delay returns the age at which a shard request of the index may be hedged.
+	Delay(index string) time.Duration
+	// Observe learns the latency of a successful shard request.
+	Observe(index string, latency time.Duration)
+}
+
+// Budget bounds the extra load: hedges and retries in percent of primary shard requests.
+type Budget interface {
+	// Earn records n primary shard requests; percent is the rule in force.
+	Earn(index string, n int, percent float64)
+	// Spend takes one hedge or retry from the budget, or returns false.
+	Spend(index string) bool
+}
+
+// Admitter orders queries before they run.
+type Admitter interface {
+	// Offer queues a query or returns a ticket that is already refused.
+	Offer(now time.Time, t *Ticket)
+	// Next returns the next query to start, or nil; refused tickets are returned by Refused.
+	Next(now time.Time) *Ticket
+	// Finished records that a started query ended after the given service time.
+	Finished(now time.Time, t *Ticket, service time.Duration)
+	// Refused returns and clears the tickets refused since the last call.
+	Refused() []*Ticket
+}
+
+// Ticket is one query waiting for admission.
+type Ticket struct {
+	Query Query
+	Class Class
+	// Cost is the number of shard requests that the query needs.
+	Cost int
+	// Detail says why the ticket was refused.
+	Detail string
+	// Admitted receives true when the query may start and false when it was refused; it has room for one value.
+	Admitted chan bool
+}
+
+// Class is a priority class.
+type Class int
+
+const (
+	// ClassOrdinary is the class of callers and indexes without a rule.
+	ClassOrdinary Class = iota
+	// ClassFirst is served before the others.
+	ClassFirst
+	// ClassLast is served after the others.
+	ClassLast
+)
+
+// String returns the word used in the rule file.
+func (c Class) String() string {
+	switch c {
+	case ClassFirst:
+		return "first"
+	case ClassLast:
+		return "last"
+	default:
+		return "ordinary"
+	}
+}
+
+// Rules answers what the rule file in force says.
+type Rules interface {
+	// Version returns the version of the rule file; 0 where none is in force.
+	Version() uint64
+	// Class returns the priority class of a caller's queries to an index.
+	Class(caller, index string) Class
+	// Deadline returns the time an answer of the index may take.
+	Deadline(index string) time.Duration
+	// ExtraLoad returns the percentage of primary shard requests that may be spent on hedges and retries.
+	ExtraLoad(index string) float64
+	// Coverage returns the wanted share of covered shards, from 0 to 100 percent.
+	Coverage(index string) float64
+	// Share returns the weight of a house.
+	Share(house string) int
+	// AtMostOnce reports whether an operation must never run twice.
+	AtMostOnce(operation string) bool
+}
+
+// RulesSource returns the rules in force now.
+type RulesSource interface {
+	Rules() Rules
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,181 @@
+// Package settings reads the YAML settings of an instance and checks them as a whole before any socket opens.
+//
+// Unknown keys are refused. Errors name the file, the line, the key and what was expected.
+//
+// # Usage
+//
+//	cfg, err := settings.Load("examples/bajio.yaml")
+//	if err != nil {
+//		// print err and exit with status 2; nothing was opened
+//	}
+package settings
+
+import (
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+// Settings holds everything that an instance learns at its start.
+type Settings struct {
+	// Instance is the name of this instance, unique among all instances.
+	Instance string `yaml:"instance" validate:"required"`
+	// DataCentre is where this instance runs.
+	DataCentre carobbend.DataCentre `yaml:"data-centre" validate:"required"`
+	// Listen holds the three listening addresses.
+	Listen Listen `yaml:"listen"`
+	// Admin configures the administration listener.
+	Admin Admin `yaml:"admin"`
+	// Callers lists the identities that may send requests.
+	Callers []Caller `yaml:"callers" validate:"min=1,unique=Name,unique=Token,dive"`
+	// Store configures access to the key-value service.
+	Store Store `yaml:"store"`
+	// InstanceList configures access to the platform's instance list.
+	InstanceList InstanceList `yaml:"instance-list"`
+	// Indexes lists the searchable indexes with their upstreams.
+	Indexes []Index `yaml:"indexes" validate:"min=1,unique=Name,dive"`
+	// Operations lists the operations with their upstreams.
+	Operations []Operation `yaml:"operations" validate:"unique=Name,dive"`
+	// Upstream holds what is common to all upstream connections.
+	Upstream Upstream `yaml:"upstream"`
+	// Queue bounds the admission queue.
+	Queue Queue `yaml:"queue"`
+	// Drain configures the graceful shutdown.
+	Drain Drain `yaml:"drain"`
+}
+
+// Listen holds IP addresses with ports; port 0 takes a free one.
+type Listen struct {
+	Callers string `yaml:"callers" validate:"required,ip_port"`
+	Admin   string `yaml:"admin" validate:"required,ip_port"`
+	Peers   string `yaml:"peers" validate:"required,ip_port"`
+}
+
+// Admin configures the administration listener.
+type Admin struct {
+	// Token authorizes administrative requests.
+	Token string `yaml:"token" validate:"required,min=8"`
+}
+
+// Caller is an identity with its tenant.
+type Caller struct {
+	Name  string `yaml:"name" validate:"required"`
+	House string `yaml:"house" validate:"required"`
+	Token string `yaml:"token" validate:"required,min=8"`
+}
+
+// Store configures access to the key-value service.
+type Store struct {
+	// URL is the base address, for instance http://127.0.0.1:8500.
+	URL string `yaml:"url" validate:"required,http_url"`
+	// CallsPerSecond caps the calls of this instance.
+	CallsPerSecond float64 `yaml:"calls-per-second" validate:"gte=0"`
+	// Timeout bounds one call.
+	Timeout time.Duration `yaml:"timeout" validate:"gte=0"`
+}
+
+// InstanceList configures access to the platform's instance list.
+type InstanceList struct {
+	// URL is the base address.
+	URL string `yaml:"url" validate:"required,http_url"`
+	// Service is the name under which instances are listed.
+	Service string `yaml:"service"`
+	// Poll is the time between two reads.
+	Poll time.Duration `yaml:"poll" validate:"gte=0"`
+	// Lag is the longest time that the list takes to show a change.
+	Lag time.Duration `yaml:"lag" validate:"gte=0"`
+}
+
+// Index is a searchable index.
+type Index struct {
+	Name string `yaml:"name" validate:"required"`
+	// Slots is the number of requests that one upstream runs at a time.
+	Slots int `yaml:"slots" validate:"min=1"`
+	// Connections is the number of connections that one upstream accepts from all instances.
+	Connections int `yaml:"connections" validate:"min=1"`
+	// Upstreams lists the replicas of all shards; which holds which shard is learned from them.
+	Upstreams []UpstreamAddress `yaml:"upstreams" validate:"min=1,unique=ID,dive"`
+}
+
+// Operation is an operation with the upstreams that execute it.
+type Operation struct {
+	Name        string            `yaml:"name" validate:"required"`
+	Slots       int               `yaml:"slots" validate:"min=1"`
+	Connections int               `yaml:"connections" validate:"min=1"`
+	Upstreams   []UpstreamAddress `yaml:"upstreams" validate:"min=1,unique=ID,dive"`
+}
+
+// UpstreamAddress is one upstream.
+type UpstreamAddress struct {
+	ID         carobbend.UpstreamID `yaml:"id" validate:"required"`
+	Address    string               `yaml:"address" validate:"required,ip_port"`
+	DataCentre carobbend.DataCentre `yaml:"data-centre"`
+}
+
+// Upstream holds what is common to all upstream connections.
+type Upstream struct {
+	// Protocol is http1 or h2c.
+	Protocol string `yaml:"protocol" validate:"omitempty,oneof=http1 h2c"`
+	// ConnectTimeout bounds the opening of a connection.
+	ConnectTimeout time.Duration `yaml:"connect-timeout" validate:"gte=0"`
+	// ProgressTimeout is how long a connection with requests in flight may stay without a byte.
+	ProgressTimeout time.Duration `yaml:"progress-timeout" validate:"gte=0"`
+	// StatusPoll is the time between two reads of an upstream's status.
+	StatusPoll time.Duration `yaml:"status-poll" validate:"gte=0"`
+}
+
+// Queue bounds the admission queue.
+type Queue struct {
+	// Length is the number of queries that may wait for each house.
+	Length int `yaml:"length" validate:"gte=0"`
+	// Concurrency is the number of queries that may run at a time.
+	Concurrency int `yaml:"concurrency" validate:"gte=0"`
+}
+
+// Drain configures the graceful shutdown.
+type Drain struct {
+	// AddressValidity is how long callers keep an answer of addresses.
+	AddressValidity time.Duration `yaml:"address-validity" validate:"gte=0"`
+	// Limit bounds the time for requests in flight after new work is refused.
+	Limit time.Duration `yaml:"limit" validate:"gte=0"`
+}
+
+// Defaults for keys that are left out.
+const (
+	DefaultStoreCallsPerSecond = 40
+	DefaultStoreTimeout        = 500 * time.Millisecond
+	DefaultInstanceService     = "carobbend"
+	DefaultListPoll            = time.Second
+	DefaultListLag             = 3 * time.Second
+	DefaultProtocol            = "http1"
+	DefaultConnectTimeout      = 250 * time.Millisecond
+	DefaultProgressTimeout     = 300 * time.Millisecond
+	DefaultStatusPoll          = 500 * time.Millisecond
+	DefaultQueueLength         = 64
+	DefaultQueueConcurrency    = 64
+	DefaultAddressValidity     = 10 * time.Second
+	DefaultDrainLimit          = 10 * time.Second
+)
+
+func orDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+func (s *Settings) applyDefaults() {
+	orDefault(&s.Store.CallsPerSecond, DefaultStoreCallsPerSecond)
+	orDefault(&s.Store.Timeout, DefaultStoreTimeout)
+	orDefault(&s.InstanceList.Service, DefaultInstanceService)
+	orDefault(&s.InstanceList.Poll, DefaultListPoll)
+	orDefault(&s.InstanceList.Lag, DefaultListLag)
+	orDefault(&s.Upstream.Protocol, DefaultProtocol)
+	orDefault(&s.Upstream.ConnectTimeout, DefaultConnectTimeout)
+	orDefault(&s.Upstream.ProgressTimeout, DefaultProgressTimeout)
+	orDefault(&s.Upstream.StatusPoll, DefaultStatusPoll)
+	orDefault(&s.Queue.Length, DefaultQueueLength)
+	orDefault(&s.Queue.Concurrency, DefaultQueueConcurrency)
+	orDefault(&s.Drain.AddressValidity, DefaultAddressValidity)
+	orDefault(&s.Drain.Limit, DefaultDrainLimit)
+}
