Add the connector to upstreams over HTTP

Cause: queries need connections within this instance's share, replies that are proved to be their own, and a way out of connections that went silent.

Ruled out: unencrypted HTTP/2 by default. It stays available as a setting. Also ruled out: a status probe to tell a slow reply from a silent connection; an upstream answers its status at once while a search is slow.

Found: the stand-in's silent connections never ended when the client closed them, so TestSuspicionClosesIdleConnections hung; it now reads and discards.

Result: the tests of silence, share, identity, truncation and denial pass, also with the race detector; without the closing of idle connections on suspicion the test of it does not end.

--- /dev/null
+++ b/connector/doc.go
@@ -0,0 +1,14 @@
+// Package connector sends shard requests to upstreams over HTTP and learns which upstream holds which shard.
+//
+// Each upstream has a pool of connections within this instance's share of the upstream's limit. A pool whose
+// requests make no progress is suspected of silent connections: its idle connections are closed, so that the next
+// request opens a new one before the upstream counts as dead. Where several pools are suspected at a time, all idle
+// connections without recent progress are closed, since whatever sits between the two ends has lost track of them.
+//
+// # Usage
+//
+//	c := connector.New(upstreams, connector.WithConns(limiter), connector.WithLeaving(balancer.Leaving))
+//	go c.Run(ctx) // polls the status of the upstreams
+//	reply, err := c.Send(ctx, "sales-desk-0-a", req)
+//	layouts := c.Layouts("sales-desk")
+package connector
--- /dev/null
+++ b/connector/poller.go
@@ -0,0 +1,66 @@
+package connector
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// poll reads the status of one upstream until ctx is done. Reads are spread over the interval by jitter.
+func (c *Connector) poll(ctx context.Context, p *pool) {
+	for {
+		status, err := c.readStatus(ctx, p)
+		if ctx.Err() != nil {
+			return
+		}
+		now := time.Now()
+		if err != nil {
+			c.statusFailed(p.up.ID)
+		} else {
+			c.statusRead(now, p.up.ID, status.Holdings)
+			p.setLeaving(now, status.Leaving)
+		}
+		t := time.NewTimer(c.statusPoll*3/4 + rand.N(c.statusPoll/2))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+	}
+}
+
+func (c *Connector) readStatus(ctx context.Context, p *pool) (StatusReply, error) {
+	var s StatusReply
+	ctx, cancel := context.WithTimeout(ctx, c.connectTimeout+c.progress)
+	defer cancel()
+	if !p.acquire() {
+		return s, errShareUsed
+	}
+	defer p.release()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.up.Address+StatusPath, nil)
+	if err != nil {
+		return s, errorx.Decorate(err, "build status request")
+	}
+	resp, err := p.transport.RoundTrip(r)
+	if err != nil {
+		return s, errorx.Decorate(err, "read status")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return s, fmt.Errorf("read status: status %d", resp.StatusCode)
+	}
+	body, err := readBody(resp)
+	if err != nil {
+		return s, errorx.Decorate(err, "read status")
+	}
+	if err := json.Unmarshal(body, &s); err != nil {
+		return s, errorx.Decorate(err, "decode status")
+	}
+	return s, nil
+}
--- /dev/null
+++ b/connector/pool.go
@@ -0,0 +1,157 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/asserter"
+)
+
+const (
+	// minSuspicion is the least age of a request without progress that raises suspicion; it lies above the usual
+	// service times, so that a slow reply doesn't cost connections.
+	minSuspicion = 20 * time.Millisecond
+	// suspicionFactor scales the smoothed latency of the upstream to the age that raises suspicion.
+	suspicionFactor = 4
+	// suspicionPause bounds how often the idle connections of a pool are closed.
+	suspicionPause = time.Second
+	// latencyWeight is the weight of a new sample in the smoothed latency.
+	latencyWeight = 0.1
+)
+
+var errShareUsed = errors.New("all connections of this instance's share are in use")
+
+// pool holds the connections to one upstream.
+type pool struct {
+	up        Upstream
+	c         *Connector
+	transport *http.Transport
+
+	open      atomic.Int64
+	requests  atomic.Int64
+	lastByte  atomic.Int64
+	suspected atomic.Int64
+	latency   atomic.Int64
+	gone      atomic.Bool
+}
+
+func newPool(c *Connector, up Upstream) *pool {
+	p := &pool{up: up, c: c}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(c.protocol != ProtocolHTTP2)
+	protocols.SetUnencryptedHTTP2(c.protocol == ProtocolHTTP2)
+	p.transport = &http.Transport{
+		DialContext:         p.dial,
+		Protocols:           protocols,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: up.Connections,
+		IdleConnTimeout:     idleTimeout,
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: c.progress, PingTimeout: c.progress},
+	}
+	return p
+}
+
+// share returns the number of connections that this instance may hold to the upstream now.
+func (p *pool) share() int64 { return int64(p.c.conns.Share(p.up.Connections)) }
+
+// acquire takes the right to one request in flight; over HTTP/1.1 each needs a connection of its own.
+func (p *pool) acquire() bool {
+	if p.requests.Add(1) <= p.share() || p.c.protocol == ProtocolHTTP2 {
+		return true
+	}
+	p.requests.Add(-1)
+	return false
+}
+
+func (p *pool) release() { p.requests.Add(-1) }
+
+// dial opens a connection within the share. The number of dials at a time is bounded over all pools, so that the end
+// of a network interruption doesn't open all connections at once.
+func (p *pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	select {
+	case p.c.dials <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-p.c.dials }()
+	if p.open.Add(1) > p.share() {
+		p.open.Add(-1)
+		return nil, errShareUsed
+	}
+	d := net.Dialer{Timeout: p.c.connectTimeout, KeepAliveConfig: keepAlive}
+	nc, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		p.open.Add(-1)
+		return nil, err
+	}
+	p.c.opened.Add(1)
+	asserter.Check(p.open.Load() <= int64(p.up.Connections), asserter.Connections,
+		"upstream", p.up.ID, "open", p.open.Load(), "limit", p.up.Connections)
+	return &conn{Conn: nc, p: p}, nil
+}
+
+// progressed records the latency of a request whose reply began.
+func (p *pool) progressed(latency time.Duration) {
+	old := p.latency.Load()
+	if old == 0 {
+		p.latency.Store(int64(latency))
+		return
+	}
+	p.latency.Store(old + int64(latencyWeight*float64(int64(latency)-old)))
+}
+
+// suspicionAge is the age at which a request without progress raises suspicion.
+func (p *pool) suspicionAge() time.Duration {
+	return min(max(minSuspicion, suspicionFactor*time.Duration(p.latency.Load())), p.c.progress)
+}
+
+// check is called when a request reached the suspicion age without a reply. The pool is suspected if none of its
+// connections received a byte since the request began.
+func (p *pool) check(begin, now time.Time) {
+	if p.lastByte.Load() >= begin.UnixNano() {
+		return
+	}
+	last := p.suspected.Load()
+	if now.UnixNano()-last < int64(suspicionPause) || !p.suspected.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	p.transport.CloseIdleConnections()
+	p.c.poolSuspected(now)
+}
+
+// refresh closes idle connections if none received a byte since a given time.
+func (p *pool) refresh(since time.Time) {
+	if p.lastByte.Load() < since.UnixNano() {
+		p.transport.CloseIdleConnections()
+	}
+}
+
+// conn counts itself against the share and records progress.
+type conn struct {
+	net.Conn
+	p    *pool
+	once sync.Once
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.p.lastByte.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() { c.p.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+var _ carobbend.Catalog = (*Connector)(nil)
--- /dev/null
+++ b/connector/protocol.go
@@ -0,0 +1,58 @@
+package connector
+
+import "carobbend.example/carobbend"
+
+// Headers of the upstream protocol; a reply repeats those that name the request and the shard.
+const (
+	HeaderRequestID = "X-Request-Id"
+	// HeaderDeadline is the time left in milliseconds.
+	HeaderDeadline      = "X-Deadline-Ms"
+	HeaderSnapshot      = "X-Snapshot"
+	HeaderShard         = "X-Shard"
+	HeaderShards        = "X-Shards"
+	HeaderUpstreamState = "X-Upstream-State"
+	// HeaderLoad carries an ORCA load report in its text form.
+	HeaderLoad         = "Endpoint-Load-Metrics"
+	HeaderOperationKey = "X-Operation-Key"
+	// StateLeaving is the value of HeaderUpstreamState of an upstream that wants no new work.
+	StateLeaving = "leaving"
+)
+
+// Paths of the upstream protocol.
+const (
+	ShardPrefix     = "/v1/shards/"
+	SearchSuffix    = "/search"
+	StatusPath      = "/v1/status"
+	OperationPrefix = "/v1/operations/"
+)
+
+// MaxBodyBytes bounds the body of a request or reply.
+const MaxBodyBytes = 1 << 20
+
+// SearchBody is the body of POST /v1/shards/SHARD/search.
+type SearchBody struct {
+	Index string `json:"index"`
+	Text  string `json:"text"`
+	Limit int    `json:"limit"`
+}
+
+// SearchReply is the body of its reply.
+type SearchReply struct {
+	Items []carobbend.Item `json:"items"`
+}
+
+// StatusReply is the body of GET /v1/status.
+type StatusReply struct {
+	ID       carobbend.UpstreamID `json:"id"`
+	Leaving  bool                 `json:"leaving"`
+	Load     float64              `json:"load"`
+	Holdings []Holding            `json:"holdings"`
+}
+
+// Holding says that an upstream holds some shards of a snapshot.
+type Holding struct {
+	Index    string               `json:"index"`
+	Snapshot carobbend.SnapshotID `json:"snapshot"`
+	Shards   int                  `json:"shards"`
+	Held     []int                `json:"held"`
+}
--- a/emulator/listener.go
+++ b/emulator/listener.go
@@ -68,7 +68,7 @@
 	if l.conns == nil {
 		l.conns = map[*listenerConn]struct{}{}
 	}
-	lc := &listenerConn{Conn: c, l: l, silent: make(chan struct{}), closed: make(chan struct{}), delay: l.ConnectTime}
+	lc := &listenerConn{Conn: c, l: l, silent: make(chan struct{}), delay: l.ConnectTime}
 	l.conns[lc] = struct{}{}
 	l.total++
 	l.most = max(l.most, len(l.conns))
@@ -87,7 +87,6 @@
 	delay       time.Duration
 	silent      chan struct{}
 	silenceOnce sync.Once
-	closed      chan struct{}
 	closeOnce   sync.Once
 }
 
@@ -97,12 +96,12 @@
 		time.Sleep(c.delay)
 		c.delay = 0
 	}
-	n, err := c.Conn.Read(p)
-	if c.isSilent() {
-		<-c.closed
-		return 0, net.ErrClosed
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.isSilent() {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 // Write implements net.Conn.
@@ -115,7 +114,7 @@
 
 // Close implements net.Conn.
 func (c *listenerConn) Close() error {
-	c.closeOnce.Do(func() { close(c.closed); c.l.remove(c) })
+	c.closeOnce.Do(func() { c.l.remove(c) })
 	return c.Conn.Close()
 }
 
--- a/emulator/upstream.go
+++ b/emulator/upstream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/connector"
 )
 
 // ServiceTime is a lognormal distribution with rare pauses.
@@ -43,12 +44,7 @@
 }
 
 // Holding says that an upstream holds some shards of a snapshot.
-type Holding struct {
-	Index    string               `json:"index"`
-	Snapshot carobbend.SnapshotID `json:"snapshot"`
-	Shards   int                  `json:"shards"`
-	Held     []int                `json:"held"`
-}
+type Holding = connector.Holding
 
 // UpstreamConfig describes an upstream.
 type UpstreamConfig struct {
