Add the linker between instances

Cause: the instance list lags; rules and claims travel between instances; a link can go silent.

Ruled out: a heartbeat between all pairs.

--- a/instance.go
+++ b/instance.go
@@ -23,6 +23,8 @@
 	Load float64 `json:"load,omitempty"`
 	// RulesVersion is the version of the rule file in force there.
 	RulesVersion uint64 `json:"rules-version,omitempty"`
+	// Sequence rises with each change that the instance announces within one incarnation.
+	Sequence uint64 `json:"-"`
 	// Ready says that the instance has rules in force and may be named to callers.
 	Ready bool `json:"ready,omitempty"`
 }
--- /dev/null
+++ b/linker/link.go
@@ -0,0 +1,227 @@
+package linker
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"carobbend.example/carobbend/encoder"
+)
+
+const (
+	dialTimeout = time.Second
+	// keepAliveInterval and writeTimeout bound how long a silent link stays unnoticed when no request uses it.
+	keepAliveInterval = 2 * time.Second
+	writeTimeout      = time.Second
+	// idleLink is how long a link without requests stays open.
+	idleLink = 30 * time.Second
+	// streamTimeout bounds the handling of one request from a peer.
+	streamTimeout = 10 * time.Second
+)
+
+var errNoHandler = errors.New("no handler for the request")
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.KeepAliveInterval = keepAliveInterval
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.StreamOpenTimeout = dialTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// link is the outgoing session to one peer address.
+type link struct {
+	mu      sync.Mutex
+	address string
+	session *yamux.Session
+	used    atomic.Int64
+	replied atomic.Int64
+}
+
+// open returns a stream, on a new session where the old one is gone.
+func (l *link) open(ctx context.Context, now time.Time) (*yamux.Stream, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used.Store(now.UnixNano())
+	if l.session == nil || l.session.IsClosed() {
+		d := net.Dialer{Timeout: dialTimeout}
+		nc, err := d.DialContext(ctx, "tcp", l.address)
+		if err != nil {
+			return nil, err
+		}
+		s, err := yamux.Client(nc, yamuxConfig())
+		if err != nil {
+			return nil, errors.Join(err, nc.Close())
+		}
+		l.session = s
+	}
+	return l.session.OpenStream()
+}
+
+// close ends the session if it is still the given one; nil means any.
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil {
+		_ = l.session.Close()
+		l.session = nil
+	}
+}
+
+// Ask implements carobbend.Peers. A request that gets no reply before ctx is done closes a link on which nothing was
+// received meanwhile, so that the next request opens a new connection.
+func (k *Linker) Ask(ctx context.Context, name string, req *encoder.Frame) (*encoder.Frame, error) {
+	l, ok := k.link(name)
+	if !ok {
+		return nil, &Error{Op: "ask", Peer: name, Kind: KindUnknownPeer, Err: errNoAddress}
+	}
+	begin := k.now()
+	reply, err := l.ask(ctx, begin, req)
+	now := k.now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		if l.replied.Load() < begin.UnixNano() {
+			go l.close()
+		}
+		k.view.askFailed(now, name)
+		return nil, &Error{Op: "ask", Peer: name, Kind: KindLink, Err: err}
+	}
+	l.replied.Store(now.UnixNano())
+	k.view.askSucceeded(now, name)
+	k.bytes += int64(proto.Size(req) + proto.Size(reply))
+	if reply.GetBody() == nil {
+		return nil, &Error{Op: "ask", Peer: name, Kind: KindRefused, Err: errNoHandler}
+	}
+	return reply, nil
+}
+
+func (l *link) ask(ctx context.Context, now time.Time, req *encoder.Frame) (*encoder.Frame, error) {
+	s, err := l.open(ctx, now)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = s.Close() }()
+	// The stream ends with ctx, which unblocks the read.
+	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := encoder.WriteFrame(s, req); err != nil {
+		return nil, err
+	}
+	return encoder.ReadFrame(bufio.NewReader(s))
+}
+
+func (k *Linker) link(name string) (*link, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x, ok := k.view.members[name]
+	if !ok || x.instance.PeerAddress == "" {
+		return nil, false
+	}
+	l, ok := k.links[name]
+	if !ok || l.address != x.instance.PeerAddress {
+		if ok {
+			go l.close()
+		}
+		l = &link{address: x.instance.PeerAddress}
+		k.links[name] = l
+	}
+	return l, true
+}
+
+func (k *Linker) closeIdle() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	limit := k.now().Add(-idleLink).UnixNano()
+	for name, l := range k.links {
+		if l.used.Load() < limit {
+			delete(k.links, name)
+			go l.close()
+		}
+	}
+}
+
+func (k *Linker) closeLinks() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, l := range k.links {
+		delete(k.links, name)
+		go l.close()
+	}
+}
+
+// Serve accepts links from peers until the listener is closed.
+func (k *Linker) Serve(ln net.Listener) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return &Error{Op: "accept", Peer: ln.Addr().String(), Kind: KindLink, Err: err}
+		}
+		s, err := yamux.Server(nc, yamuxConfig())
+		if err != nil {
+			_ = nc.Close()
+			continue
+		}
+		context.AfterFunc(ctx, func() { _ = s.Close() })
+		go k.serveSession(ctx, s)
+	}
+}
+
+func (k *Linker) serveSession(ctx context.Context, s *yamux.Session) {
+	defer func() { _ = s.Close() }()
+	for {
+		stream, err := s.AcceptStream()
+		if err != nil {
+			return
+		}
+		go k.serveStream(ctx, stream)
+	}
+}
+
+func (k *Linker) serveStream(ctx context.Context, s *yamux.Stream) {
+	defer func() { _ = s.Close() }()
+	if err := s.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, streamTimeout)
+	defer cancel()
+	req, err := encoder.ReadFrame(bufio.NewReader(s))
+	if err != nil {
+		return
+	}
+	reply := k.handle(ctx, s.RemoteAddr().String(), req)
+	if err := encoder.WriteFrame(s, reply); err != nil {
+		k.log.Error(err, "reply to peer not written", "peer", s.RemoteAddr())
+	}
+}
+
+// handle answers a request; an empty frame says that no handler knows it.
+func (k *Linker) handle(ctx context.Context, from string, req *encoder.Frame) *encoder.Frame {
+	switch body := req.GetBody().(type) {
+	case *encoder.Frame_Notice:
+		k.learn(body.Notice)
+		return &encoder.Frame{Body: &encoder.Frame_Notice{Notice: k.notice()}}
+	case *encoder.Frame_Ping:
+		return &encoder.Frame{Body: &encoder.Frame_Pong{Pong: &encoder.Pong{N: body.Ping.GetN()}}}
+	}
+	for _, h := range k.handlers {
+		if reply := h.HandlePeer(ctx, from, req); reply != nil {
+			return reply
+		}
+	}
+	return &encoder.Frame{}
+}
--- /dev/null
+++ b/linker/linker_test.go
@@ -0,0 +1,98 @@
+package linker
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/emulator"
+	"carobbend.example/carobbend/encoder"
+)
+
+func start(t *testing.T, name string, opts ...Option) (*Linker, *emulator.Listener) {
+	t.Helper()
+	nl, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &emulator.Listener{Listener: nl}
+	self := instance(name, "1", 1)
+	self.PeerAddress = nl.Addr().String()
+	k := New(self, opts...)
+	served := make(chan error, 1)
+	go func() { served <- k.Serve(ln) }()
+	t.Cleanup(func() {
+		k.closeLinks()
+		if err := ln.Listener.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := <-served; err != nil {
+			t.Errorf("serve: got %v, want nil", err)
+		}
+	})
+	return k, ln
+}
+
+func ping(ctx context.Context, k *Linker, name string) error {
+	_, err := k.Ask(ctx, name, &encoder.Frame{Body: &encoder.Frame_Ping{Ping: &encoder.Ping{N: 1}}})
+	return err
+}
+
+// Guards against an instance that starts or leaves and isn't seen before the lagging list shows it.
+func TestNoticesReachPeers(t *testing.T) {
+	a, _ := start(t, "a")
+	b, _ := start(t, "b", WithList(func(context.Context) ([]carobbend.Instance, error) {
+		return []carobbend.Instance{a.Self()}, nil
+	}))
+	b.round(t.Context())
+	if got, ok := find(a.Live(), "b"); !ok || got.Leaving {
+		t.Fatalf("a's view of b: got %+v, %v, want live", got, ok)
+	}
+	b.SetLeaving(t.Context(), true)
+	if got, _ := find(a.Live(), "b"); !got.Leaving {
+		t.Errorf("a's view of b: got %+v, want leaving", got)
+	}
+}
+
+// Guards against a link that went silent and blocks all later requests.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	a, ln := start(t, "a")
+	b, _ := start(t, "b", WithList(func(context.Context) ([]carobbend.Instance, error) {
+		return []carobbend.Instance{a.Self()}, nil
+	}))
+	b.readList(t.Context())
+	if err := ping(t.Context(), b, "a"); err != nil {
+		t.Fatal(err)
+	}
+	ln.Silence()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := ping(ctx, b, "a"); err == nil {
+		t.Error("request on a silent link: got a reply, want an error")
+	}
+	// The old session is closed in the background; a request that still meets it fails and is repeated.
+	for range 200 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		err := ping(ctx, b, "a")
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	t.Error("requests after the silence: got errors alone, want a reply on a new link")
+}
+
+// Guards against a request of an unknown kind that is taken for answered.
+func TestUnknownRequestIsRefused(t *testing.T) {
+	a, _ := start(t, "a")
+	b, _ := start(t, "b", WithList(func(context.Context) ([]carobbend.Instance, error) {
+		return []carobbend.Instance{a.Self()}, nil
+	}))
+	b.readList(t.Context())
+	_, err := b.Ask(t.Context(), "a", &encoder.Frame{Body: &encoder.Frame_RulesRequest{RulesRequest: &encoder.RulesRequest{}}})
+	if err == nil {
+		t.Error("request without a handler: got a reply, want an error")
+	}
+}
