--- /dev/null
+++ b/combiner/combiner.go
@@ -0,0 +1,139 @@
+// Package combiner merges the replies of shards into the best items of one snapshot.
+//
+// It does no I/O. A reply is accepted only if it states the snapshot, shard and shard count that were asked for,
+// and each shard is accepted once. Coverage is the number of accepted replies.
+//
+// # Usage
+//
+//	c := combiner.New("sales-desk", snapshot, shards, 10)
+//	if v := c.Accept(shard, &reply); v != combiner.Accepted {
+//		// the reply is not part of the answer
+//	}
+//	c.Miss(3, carobbend.MissingDeadline)
+//	items, missing := c.Items(), c.Missing()
+package combiner
+
+import "carobbend.example/carobbend"
+
+// Verdict says what became of a reply.
+type Verdict uint8
+
+const (
+	// Accepted says that the reply is part of the answer.
+	Accepted Verdict = iota
+	// Duplicate says that the shard was accepted before.
+	Duplicate
+	// WrongIndex says that the reply states another index.
+	WrongIndex
+	// WrongSnapshot says that the reply states another snapshot.
+	WrongSnapshot
+	// WrongShard says that the reply states another shard, or that the shard doesn't exist.
+	WrongShard
+	// WrongShards says that the reply states another number of shards.
+	WrongShards
+)
+
+// String returns the name used in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Accepted:
+		return "accepted"
+	case Duplicate:
+		return "duplicate"
+	case WrongIndex:
+		return "wrong-index"
+	case WrongSnapshot:
+		return "wrong-snapshot"
+	case WrongShard:
+		return "wrong-shard"
+	default:
+		return "wrong-shards"
+	}
+}
+
+// shardState is the part of one shard in the answer.
+type shardState struct {
+	covered bool
+	reason  carobbend.MissingReason
+}
+
+// Combiner collects the replies of one plan. It is not safe for concurrent use.
+type Combiner struct {
+	index    string
+	snapshot carobbend.SnapshotID
+	shards   []shardState
+	covered  int
+	best     top
+}
+
+// New returns a combiner for one snapshot; a limit of 0 or less means carobbend.DefaultLimit.
+func New(index string, snapshot carobbend.SnapshotID, shards, limit int) *Combiner {
+	if limit <= 0 {
+		limit = carobbend.DefaultLimit
+	}
+	return &Combiner{
+		index: index, snapshot: snapshot, shards: make([]shardState, max(shards, 0)), best: top{limit: limit},
+	}
+}
+
+// Accept merges the reply to a request for shard unless it states anything else than what was asked for.
+func (c *Combiner) Accept(shard int, r *carobbend.ShardReply) Verdict {
+	switch {
+	case r.Ref.Index != c.index:
+		return WrongIndex
+	case r.Ref.Snapshot != c.snapshot:
+		return WrongSnapshot
+	case r.Ref.Shards != len(c.shards):
+		return WrongShards
+	case r.Ref.Shard != shard || shard < 0 || shard >= len(c.shards):
+		return WrongShard
+	case c.shards[shard].covered:
+		return Duplicate
+	}
+	c.shards[shard] = shardState{covered: true}
+	c.covered++
+	for i := range r.Items {
+		c.best.add(&r.Items[i], shard)
+	}
+	return Accepted
+}
+
+// Miss records why a shard isn't covered; it has no effect on a covered shard.
+func (c *Combiner) Miss(shard int, reason carobbend.MissingReason) {
+	if shard < 0 || shard >= len(c.shards) || c.shards[shard].covered {
+		return
+	}
+	c.shards[shard].reason = reason
+}
+
+// Snapshot returns the snapshot that all accepted replies state.
+func (c *Combiner) Snapshot() carobbend.SnapshotID { return c.snapshot }
+
+// Covered returns the number of accepted replies.
+func (c *Combiner) Covered() int { return c.covered }
+
+// Total returns the number of shards of the snapshot.
+func (c *Combiner) Total() int { return len(c.shards) }
+
+// Missing returns the shards that aren't covered, in ascending order. A shard without a recorded reason is listed
+// with MissingDeadline.
+func (c *Combiner) Missing() []carobbend.MissingShard {
+	n := len(c.shards) - c.covered
+	if n == 0 {
+		return nil
+	}
+	out := make([]carobbend.MissingShard, 0, n)
+	for i, s := range c.shards {
+		if s.covered {
+			continue
+		}
+		if s.reason == "" {
+			s.reason = carobbend.MissingDeadline
+		}
+		out = append(out, carobbend.MissingShard{Shard: i, Reason: s.reason})
+	}
+	return out
+}
+
+// Items returns the best items, best first: by score descending, then by key. It is never nil.
+func (c *Combiner) Items() []carobbend.Item { return c.best.items() }
--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,103 @@
+// Package executor runs queries: it drives one planner.Planner for each query with goroutines and a timer over
+// carobbend.Upstreams.
+//
+// # Usage
+//
+//	x := executor.New(executor.Config{Upstreams: up, Catalog: c, Balancer: b, Hedger: h, Budget: h, Rules: src})
+//	answer := x.Run(ctx, query)
+package executor
+
+import (
+	"context"
+	"sync/atomic"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/planner"
+)
+
+// Config holds what an executor works with. Upstreams, Catalog and Balancer are required.
+type Config struct {
+	Upstreams carobbend.Upstreams
+	Catalog   carobbend.Catalog
+	Balancer  carobbend.Balancer
+	// Hedger and Budget may be nil; then nothing is hedged, or nothing is sent twice.
+	Hedger carobbend.Hedger
+	Budget carobbend.Budget
+	// Rules may be nil; then the defaults apply.
+	Rules carobbend.RulesSource
+	// Seed fixes the jitter of retries.
+	Seed uint64
+}
+
+// Counters counts shard requests since the start.
+type Counters struct {
+	Queries   int64
+	Primaries int64
+	Hedges    int64
+	Retries   int64
+	Replans   int64
+	// Late counts replies and failures that came after they could count.
+	Late int64
+	// Crossed counts replies that belonged to another request.
+	Crossed int64
+}
+
+// Executor implements carobbend.QueryRunner. It is safe for concurrent use.
+type Executor struct {
+	cfg      Config
+	sequence atomic.Uint64
+	counters struct {
+		queries, primaries, hedges, retries, replans, late, crossed atomic.Int64
+	}
+}
+
+var _ carobbend.QueryRunner = (*Executor)(nil)
+
+// New returns an executor.
+func New(cfg Config) *Executor { return &Executor{cfg: cfg} }
+
+// Counters returns the counts of the queries that have finished, and of late replies to them.
+func (x *Executor) Counters() Counters {
+	c := &x.counters
+	return Counters{
+		Queries: c.queries.Load(), Primaries: c.primaries.Load(), Hedges: c.hedges.Load(), Retries: c.retries.Load(),
+		Replans: c.replans.Load(), Late: c.late.Load(), Crossed: c.crossed.Load(),
+	}
+}
+
+// Run answers a query. It returns shortly before the deadline at the latest, and at once when ctx is canceled.
+func (x *Executor) Run(ctx context.Context, q carobbend.Query) carobbend.Answer {
+	r := newRun(ctx, x, q)
+	r.step(planner.Event{Kind: planner.EventStart})
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+		r.step(planner.Event{Kind: planner.EventCancel})
+		<-r.done
+	}
+	return *r.answer
+}
+
+func (x *Executor) rules() carobbend.Rules {
+	if x.cfg.Rules == nil {
+		return nil
+	}
+	return x.cfg.Rules.Rules()
+}
+
+// count adds what a planner has done since before.
+func (x *Executor) count(before, after planner.Stats) {
+	c := &x.counters
+	add(&c.primaries, before.Primaries, after.Primaries)
+	add(&c.hedges, before.Hedges, after.Hedges)
+	add(&c.retries, before.Retries, after.Retries)
+	add(&c.replans, before.Replans, after.Replans)
+	add(&c.late, before.Late, after.Late)
+	add(&c.crossed, before.Crossed, after.Crossed)
+}
+
+func add(n *atomic.Int64, before, after int) {
+	if after != before {
+		n.Add(int64(after - before))
+	}
+}
