Drop the lock and the derived contexts from executor

Cause: with upstreams that answer at once, a third of the CPU time went into the mutex of the query, and half of the memory into a context.WithCancel for each attempt.

Ruled out: one goroutine with a channel for each query, which adds a switch for each reply; pooled planners, since late replies still refer to them.

The goroutine that finds the inbox idle handles all events; an attempt is its own context, with AfterFunc so that derived contexts need no goroutine.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -68,11 +68,11 @@
 // Run answers a query. It returns shortly before the deadline at the latest, and at once when ctx is canceled.
 func (x *Executor) Run(ctx context.Context, q carobbend.Query) carobbend.Answer {
 	r := newRun(ctx, x, q)
-	r.step(planner.Event{Kind: planner.EventStart})
+	r.post(&r.start)
 	select {
 	case <-r.done:
 	case <-ctx.Done():
-		r.step(planner.Event{Kind: planner.EventCancel})
+		r.post(&r.gone)
 		<-r.done
 	}
 	return *r.answer
--- a/executor/run.go
+++ b/executor/run.go
@@ -2,35 +2,41 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/planner"
 )
 
-// run is one query in progress. The mutex orders the events of the planner; effects are carried out under it too,
-// so that a cancellation never overtakes its send.
+// run is one query in progress. Its events pass through an inbox without a lock: the goroutine that finds the inbox
+// idle handles the events until none is left, and the others leave theirs and go on. The fields below inbox
+// belong to the goroutine that handles events.
 type run struct {
 	x      *Executor
 	ctx    context.Context
-	cancel context.CancelFunc
 	done   chan struct{}
 	answer *carobbend.Answer
+	inbox  inbox
+	// start, tick and gone are the events that don't come from an attempt.
+	start, tick, gone node
+	ticking           atomic.Bool
 
-	mu      sync.Mutex
 	planner *planner.Planner
 	// counted is the part of the planner's counts that the executor has taken over.
-	counted planner.Stats
-	cancels []context.CancelFunc
-	timer   *time.Timer
+	counted  planner.Stats
+	attempts []*attempt
+	timer    *time.Timer
 	// armed is when the timer fires; it may be earlier than needed, which costs one event without effect.
 	armed time.Time
 }
 
 func newRun(ctx context.Context, x *Executor, q carobbend.Query) *run {
-	r := &run{x: x, done: make(chan struct{})}
-	r.ctx, r.cancel = context.WithCancel(ctx)
+	r := &run{x: x, ctx: ctx, done: make(chan struct{})}
+	r.start.event.Kind = planner.EventStart
+	r.tick.event.Kind = planner.EventTimer
+	r.gone.event.Kind = planner.EventCancel
 	r.planner = planner.New(planner.Config{
 		Query: q, Catalog: x.cfg.Catalog, Balancer: x.cfg.Balancer, Hedger: x.cfg.Hedger, Budget: x.cfg.Budget,
 		Rules: x.rules(), Seed: x.cfg.Seed + x.sequence.Add(1),
@@ -38,28 +44,49 @@
 	return r
 }
 
-// step feeds the planner with an event and carries out the effects.
-func (r *run) step(ev planner.Event) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	fx := r.planner.Handle(now, ev)
-	for i := range fx.Sends {
-		r.send(&fx.Sends[i])
+// post hands an event to the planner, now or through the goroutine that is handling events.
+func (r *run) post(n *node) {
+	if !r.inbox.push(n) {
+		return
+	}
+	for n != nil {
+		now := time.Now()
+		for n != nil {
+			next := n.next
+			r.handle(now, n)
+			n = next
+		}
+		r.settle(now)
+		n = r.inbox.drain()
+	}
+}
+
+// handle feeds the planner with one event and carries out its effects.
+func (r *run) handle(now time.Time, n *node) {
+	if n == &r.tick {
+		r.armed = time.Time{}
+		r.ticking.Store(false)
 	}
-	for _, n := range fx.Cancels {
-		r.cancels[n]()
+	fx := r.planner.Handle(now, n.event)
+	n.event.Reply = carobbend.ShardReply{}
+	r.send(fx.Sends)
+	for _, i := range fx.Cancels {
+		r.attempts[i].cancel()
 	}
 	if fx.Answer != nil {
 		r.finish(fx.Answer)
 	}
-	if r.planner.Done() {
-		after := r.planner.Stats()
-		r.x.count(r.counted, after)
-		r.counted = after
+}
+
+// settle takes over the counts of a finished query, or sets the timer of a running one.
+func (r *run) settle(now time.Time) {
+	if !r.planner.Done() {
+		r.arm(now)
 		return
 	}
-	r.arm(now)
+	after := r.planner.Stats()
+	r.x.count(r.counted, after)
+	r.counted = after
 }
 
 func (r *run) finish(ans *carobbend.Answer) {
@@ -67,7 +94,6 @@
 	if r.timer != nil {
 		r.timer.Stop()
 	}
-	r.cancel()
 	r.answer = ans
 	close(r.done)
 }
@@ -79,30 +105,32 @@
 	}
 	r.armed = at
 	if r.timer == nil {
-		r.timer = time.AfterFunc(at.Sub(now), r.tick)
+		r.timer = time.AfterFunc(at.Sub(now), r.fire)
 		return
 	}
 	r.timer.Reset(at.Sub(now))
 }
 
-func (r *run) tick() {
-	r.mu.Lock()
-	r.armed = time.Time{}
-	r.mu.Unlock()
-	r.step(planner.Event{Kind: planner.EventTimer})
-}
-
-func (r *run) send(s *planner.Send) {
-	ctx, cancel := context.WithCancel(r.ctx)
-	r.cancels = append(r.cancels, cancel)
-	go r.attempt(ctx, s.Attempt, s.Upstream, s.Request)
+// fire posts the timer event unless it is already in the inbox, since a timer may fire again after a Reset.
+func (r *run) fire() {
+	if r.ticking.CompareAndSwap(false, true) {
+		r.post(&r.tick)
+	}
 }
 
-func (r *run) attempt(ctx context.Context, n int, id carobbend.UpstreamID, req carobbend.ShardRequest) {
-	reply, err := r.x.cfg.Upstreams.Send(ctx, id, req)
-	if err != nil {
-		r.step(planner.Event{Kind: planner.EventFailure, Attempt: n, Failure: carobbend.KindOf(err)})
+// send starts one goroutine for each request.
+func (r *run) send(sends []planner.Send) {
+	if len(sends) == 0 {
 		return
 	}
-	r.step(planner.Event{Kind: planner.EventReply, Attempt: n, Reply: reply})
+	// The attempts of one event are allocated together.
+	batch := make([]attempt, len(sends))
+	r.attempts = slices.Grow(r.attempts, len(sends))
+	for i := range sends {
+		a := &batch[i]
+		a.run, a.upstream, a.request = r, sends[i].Upstream, sends[i].Request
+		a.event.Attempt = sends[i].Attempt
+		r.attempts = append(r.attempts, a)
+		go a.send()
+	}
 }
