--- a/executor/executor.go
+++ b/executor/executor.go
@@ -36,7 +36,7 @@
 	Hedges    int64
 	Retries   int64
 	Replans   int64
-	// Late counts replies and failures that came after they could count.
+	// Late counts replies that came after they could count.
 	Late int64
 	// Crossed counts replies that belonged to another request.
 	Crossed int64
--- a/planner/event.go
+++ b/planner/event.go
@@ -80,7 +80,7 @@
 	Primaries int
 	Hedges    int
 	Retries   int
-	// Late counts replies and failures that came after they could count: late, duplicated or of a cancelled attempt.
+	// Late counts replies that came after they could count, and any further event of an attempt that has ended.
 	Late int
 	// Crossed counts replies that belonged to another request.
 	Crossed int
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -238,7 +238,7 @@
 		p.crossed(now, a)
 		return
 	}
-	if p.stale(a) {
+	if a.canceled {
 		p.cfg.Balancer.Finished(now, a.upstream, p.now-a.sent, carobbend.FailureNone, r.Load)
 		p.stats.Late++
 		return
@@ -286,10 +286,7 @@
 		p.cfg.Balancer.Leaving(now, a.upstream, true)
 	}
 	p.cfg.Balancer.Finished(now, a.upstream, p.now-a.sent, kind, -1)
-	if p.stale(a) {
-		if !a.canceled {
-			p.stats.Late++
-		}
+	if a.canceled {
 		return
 	}
 	p.shardFailed(int(a.shard), a, kind)
@@ -306,11 +303,8 @@
 	return a
 }
 
-// stale reports whether the result of an attempt can no longer count.
-func (p *Planner) stale(a *attempt) bool {
-	return p.done || a.canceled || a.plan != p.plan || p.shards[a.shard].state != shardPending
-}
-
+// cancel gives an open attempt up; its reply no longer counts. An attempt that is neither ended nor cancelled
+// belongs to a pending shard of the current plan.
 func (p *Planner) cancel(n int) {
 	a := &p.attempts[n]
 	if a.ended || a.canceled {
