Add the rule file parser

Cause: rules take effect only through the rule file of design section 8; it needs one place that reads, checks, compares and explains it.

Ruled out: a parser library; a line is at most four words, and errors must name line, column, word and what was expected. Stopping at the first problem; an operator then needs one run for each.

--- /dev/null
+++ b/parser/explain.go
@@ -0,0 +1,166 @@
+package parser
+
+import (
+	"fmt"
+	"strings"
+)
+
+// ChangeKind says what happened to a rule between two files.
+type ChangeKind string
+
+const (
+	// Added says that the rule is new.
+	Added ChangeKind = "added"
+	// Changed says that the value or the comment of the rule is new.
+	Changed ChangeKind = "changed"
+	// Struck says that the rule was removed.
+	Struck ChangeKind = "struck"
+)
+
+// Change explains one rule that differs between two files.
+type Change struct {
+	Kind ChangeKind
+	// Rule is the new rule, or the struck one.
+	Rule Rule
+	// Effect says in plain words what the change does.
+	Effect string
+	// Warning says what may go wrong; empty where nothing is expected to.
+	Warning string
+}
+
+// String returns the change, with the warning on a line of its own.
+func (c Change) String() string {
+	s := fmt.Sprintf("%s: %s\n    %s", c.Kind, c.Rule, c.Effect)
+	if c.Warning != "" {
+		s += "\n    WARNING: " + c.Warning
+	}
+	return s
+}
+
+// Explain compares two files rule by rule: added and changed rules in the order of the new file, then struck ones.
+func Explain(before, after *Ruleset) []Change {
+	var out []Change
+	for _, r := range after.rules {
+		prev, ok := before.lookup(r.Kind, r.Subject)
+		switch {
+		case !ok:
+			out = append(out, Change{Kind: Added, Rule: r, Effect: effect(r, defaultValue(r))})
+		case prev.Value != r.Value:
+			out = append(out, Change{Kind: Changed, Rule: r, Effect: effect(r, prev.Value)})
+		case prev.Comment != r.Comment:
+			out = append(out, Change{Kind: Changed, Rule: r, Effect: "only the comment changes, from: " + prev.Comment})
+		}
+	}
+	for _, r := range before.rules {
+		if _, ok := after.lookup(r.Kind, r.Subject); ok {
+			continue
+		}
+		c := Change{Kind: Struck, Rule: r, Effect: struckEffect(r)}
+		if r.Kind == KindAtMostOnce {
+			c.Warning = fmt.Sprintf("operation %s may run twice: a request that is repeated after a lost reply is executed again", r.Subject)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+func defaultValue(r Rule) string {
+	switch r.Kind {
+	case KindDeadline:
+		return "70ms"
+	case KindExtraLoad:
+		return "0%"
+	case KindCoverage:
+		return "100%"
+	case KindShare:
+		return "1"
+	default:
+		return ""
+	}
+}
+
+func effect(r Rule, before string) string {
+	instead := ""
+	if before != "" {
+		instead = " instead of " + before
+		if before == r.Value {
+			instead = ", which is also the default"
+		}
+	}
+	switch r.Kind {
+	case KindClass:
+		return fmt.Sprintf("queries of %s are served in class %s%s", r.Subject, r.Value, instead) + precedence(r)
+	case KindDeadline:
+		return fmt.Sprintf("an answer of index %s may take %s%s", r.Subject, r.Value, instead)
+	case KindExtraLoad:
+		return fmt.Sprintf("hedges and retries of index %s may add %s to its shard requests%s", r.Subject, r.Value, instead)
+	case KindCoverage:
+		return fmt.Sprintf("index %s is searched in the newest snapshot with %s of its shards available%s", r.Subject, r.Value, instead)
+	case KindShare:
+		return fmt.Sprintf("house %s has weight %s%s when houses compete", r.Subject, r.Value, instead)
+	default:
+		return fmt.Sprintf("operation %s runs at most once for each key; it is refused while the store is down", r.Subject)
+	}
+}
+
+func precedence(r Rule) string {
+	if strings.HasPrefix(r.Subject, subjectOfCaller+" ") {
+		return ", whatever the class of the index"
+	}
+	return ", unless their caller has a class of its own"
+}
+
+func struckEffect(r Rule) string {
+	switch r.Kind {
+	case KindClass:
+		if strings.HasPrefix(r.Subject, subjectOfCaller+" ") {
+			return fmt.Sprintf("queries of %s are served in the class of the index again, or in class ordinary", r.Subject)
+		}
+		return fmt.Sprintf("queries of %s are served in class ordinary again, unless their caller has a class of its own", r.Subject)
+	case KindDeadline:
+		return fmt.Sprintf("an answer of index %s may take 70ms again instead of %s", r.Subject, r.Value)
+	case KindExtraLoad:
+		return fmt.Sprintf("index %s gets no hedges and no retries anymore (0%% instead of %s)", r.Subject, r.Value)
+	case KindCoverage:
+		return fmt.Sprintf("index %s is searched in the newest snapshot with 100%% of its shards available again instead of %s", r.Subject, r.Value)
+	case KindShare:
+		return fmt.Sprintf("house %s has weight 1 again instead of %s when houses compete", r.Subject, r.Value)
+	default:
+		return fmt.Sprintf("operation %s may be retried and is no longer recorded in the store", r.Subject)
+	}
+}
+
+// Diff returns the lines that only the first and only the second text holds, each in the order of its text. Empty
+// lines, a version line and the order of lines are not compared.
+func Diff(before, after string) (removed, added []string) {
+	old, now := lines(before), lines(after)
+	return subtract(old, now), subtract(now, old)
+}
+
+func lines(text string) []string {
+	var out []string
+	for _, l := range strings.Split(text, "\n") {
+		l = strings.TrimSpace(l)
+		first, _, _ := strings.Cut(l, " ")
+		if l != "" && first != versionWord {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func subtract(a, b []string) []string {
+	n := map[string]int{}
+	for _, l := range b {
+		n[l]++
+	}
+	var out []string
+	for _, l := range a {
+		if n[l] > 0 {
+			n[l]--
+			continue
+		}
+		out = append(out, l)
+	}
+	return out
+}
--- /dev/null
+++ b/parser/parser_test.go
@@ -0,0 +1,215 @@
+package parser
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carobbend.example/carobbend"
+)
+
+var _ carobbend.Rules = (*Ruleset)(nil)
+
+func read(t testing.TB, name string) string {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func mustParse(t testing.TB, text string) *Ruleset {
+	t.Helper()
+	r, err := Parse("test.rules", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against a rule that is read as another value than the one written.
+func TestRulesAnswerAsWritten(t *testing.T) {
+	r := mustParse(t, read(t, "good.rules")).WithVersion(42)
+	base, stated := r.Base()
+	got := []any{
+		base, stated, r.Version(), r.Class("", "rota-board"), r.Class("crews", "rota-board"), r.Class("", "sales-desk"),
+		r.Deadline("rota-board"), r.Deadline("sales-desk"), r.ExtraLoad("sales-desk"), r.ExtraLoad("rota-board"),
+		r.AtMostOnce("book-crew"), r.Share("león"), r.Coverage("rota-board"), len(r.List()),
+	}
+	want := []any{
+		uint64(41), true, uint64(42), carobbend.ClassFirst, carobbend.ClassLast, carobbend.ClassOrdinary,
+		70 * time.Millisecond, 1500 * time.Millisecond, 5.0, 2.5, true, 2, 99.5, 10,
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// Guards against defaults that differ from the documented ones, and against a zero value that can't be used.
+func TestDefaults(t *testing.T) {
+	for _, r := range []*Ruleset{{}, mustParse(t, "")} {
+		got := []any{r.Version(), r.Class("c", "x"), r.Deadline("x"), r.ExtraLoad("x"), r.AtMostOnce("o"), r.Share("h"), r.Coverage("x")}
+		want := []any{uint64(0), carobbend.ClassOrdinary, 70 * time.Millisecond, 0.0, false, 1, 100.0}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	}
+}
+
+// Guards against a bad file that is accepted, or whose problems are reported one at a time or at the wrong place.
+func TestParseReportsAllProblems(t *testing.T) {
+	_, err := Parse("bad.rules", read(t, "bad.rules"))
+	if err == nil {
+		t.Fatal("got no error")
+	}
+	got, want := strings.Split(err.Error(), "\n"), strings.Split(strings.TrimSpace(read(t, "bad.want")), "\n")
+	for i := range max(len(got), len(want)) {
+		var g, w string
+		if i < len(got) {
+			g = got[i]
+		}
+		if i < len(want) {
+			w = want[i]
+		}
+		if g != w {
+			t.Errorf("problem %d:\n got %s\nwant %s", i, g, w)
+		}
+	}
+	for _, bad := range []string{
+		"\xff", "share leon 2 # a\x1b[2J", "share leon 2 # a\u2028b", "share \u202eleon 2 # a", strings.Repeat("x", MaxFileBytes+1),
+		"version -1", "version", "version 1 2", "share a 1 # b\nversion 1", "share " + strings.Repeat("a", MaxWordBytes+1) + " 1 # b",
+	} {
+		if _, err := Parse("bad.rules", bad); err == nil {
+			t.Errorf("%.40q: got no error", bad)
+		}
+	}
+}
+
+// Guards against a struck at-most-once line that passes without a warning, and against misleading explanations.
+func TestExplain(t *testing.T) {
+	var got []string
+	for _, c := range Explain(mustParse(t, read(t, "good.rules")), mustParse(t, read(t, "after.rules"))) {
+		got = append(got, c.String())
+	}
+	if got, want := strings.Join(got, "\n")+"\n", read(t, "explain.want"); got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
+
+// Guards against a diff that hides a line of another operator.
+func TestDiff(t *testing.T) {
+	removed, added := Diff("version 1\na\nb\n\nb\r\n", "version 2\nb\nc\n")
+	if got, want := fmt.Sprint(removed, added), "[a b] [c]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+func ruleLines(t *rapid.T) []string {
+	values := map[Kind]*rapid.Generator[string]{
+		KindClass:      rapid.SampledFrom([]string{"first", "ordinary", "last"}),
+		KindDeadline:   rapid.Custom(func(t *rapid.T) string { return fmt.Sprintf("%dms", rapid.IntRange(1, 60000).Draw(t, "ms")) }),
+		KindExtraLoad:  rapid.Custom(func(t *rapid.T) string { return fmt.Sprintf("%d%%", rapid.IntRange(0, 100).Draw(t, "percent")) }),
+		KindCoverage:   rapid.Custom(func(t *rapid.T) string { return fmt.Sprintf("%d%%", rapid.IntRange(0, 100).Draw(t, "percent")) }),
+		KindShare:      rapid.Custom(func(t *rapid.T) string { return fmt.Sprint(rapid.IntRange(1, 1000).Draw(t, "share")) }),
+		KindAtMostOnce: rapid.Just(""),
+	}
+	order := []Kind{KindClass, KindDeadline, KindExtraLoad, KindCoverage, KindShare, KindAtMostOnce}
+	keys := rapid.SliceOfDistinct(rapid.Custom(func(t *rapid.T) string {
+		k := rapid.SampledFrom(order).Draw(t, "kind")
+		s := string(k) + " "
+		if k == KindClass {
+			s += rapid.SampledFrom([]string{"index ", "caller "}).Draw(t, "of")
+		}
+		return s + rapid.SampledFrom([]string{"a", "b", "rota-board"}).Draw(t, "subject")
+	}), rapid.ID).Draw(t, "rules")
+	out := make([]string, len(keys))
+	for i, k := range keys {
+		kind, _, _ := strings.Cut(k, " ")
+		out[i] = k + " " + values[Kind(kind)].Draw(t, "value") + " # asked by a test"
+	}
+	return out
+}
+
+// answers lists what the rules say of every subject that the generator uses.
+func answers(r *Ruleset) map[string]any {
+	m := map[string]any{}
+	for _, s := range []string{"a", "b", "rota-board"} {
+		m["class index "+s], m["class caller "+s] = r.Class("", s), r.Class(s, "")
+		m["deadline "+s], m["extra-load "+s], m["coverage "+s] = r.Deadline(s), r.ExtraLoad(s), r.Coverage(s)
+		m["share "+s], m["at-most-once "+s] = r.Share(s), r.AtMostOnce(s)
+	}
+	return m
+}
+
+// Guards against a file in which one rule depends on another.
+func TestAnyLineCanBeRemoved(t *testing.T) {
+	defaults := answers(&Ruleset{})
+	rapid.Check(t, func(t *rapid.T) {
+		all := ruleLines(t)
+		before, err := Parse("test.rules", strings.Join(all, "\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range all {
+			rest := append(append([]string(nil), all[:i]...), all[i+1:]...)
+			after, err := Parse("test.rules", strings.Join(rest, "\n"))
+			if err != nil {
+				t.Fatalf("without %q: %v", all[i], err)
+			}
+			struck := before.List()[i]
+			want := answers(before)
+			key := string(struck.Kind) + " " + struck.Subject
+			want[key] = defaults[key]
+			if got := answers(after); !reflect.DeepEqual(got, want) {
+				t.Fatalf("without %q: got %v, want %v", all[i], got, want)
+			}
+			changes := Explain(before, after)
+			if len(changes) != 1 || changes[0].Kind != Struck || (changes[0].Warning != "") != (struck.Kind == KindAtMostOnce) {
+				t.Fatalf("without %q: explained as %v", all[i], changes)
+			}
+		}
+	})
+}
+
+// Guards against a panic on arbitrary text, and against normal forms that are read differently.
+func FuzzParse(f *testing.F) {
+	f.Add(read(f, "good.rules"))
+	f.Add(read(f, "bad.rules"))
+	f.Fuzz(func(t *testing.T, text string) { checkParse(t, text) })
+}
+
+func checkParse(t rapid.TB, text string) {
+	r, err := Parse("fuzz.rules", text)
+	if err != nil {
+		if err.Error() == "" {
+			t.Fatalf("error without text")
+		}
+		return
+	}
+	var lines []string
+	for _, rule := range r.List() {
+		lines = append(lines, rule.String())
+	}
+	again, err := Parse("normal.rules", strings.Join(lines, "\n"))
+	if err != nil {
+		t.Fatalf("normal form: %v", err)
+	}
+	if changes := Explain(r, again); len(changes) != 0 {
+		t.Fatalf("normal form differs: %v", changes)
+	}
+}
+
+// Guards against a panic in ordinary test runs, where the fuzz target runs its seeds only.
+func TestParseNeverPanics(t *testing.T) {
+	words := rapid.SampledFrom([]string{"version", "class", "index", "deadline", "share", "at-most-once", "70ms", "5%", "x", "#", " ", "\n", "\t", "\r", "1", "\xff"})
+	rapid.Check(t, func(t *rapid.T) {
+		checkParse(t, strings.Join(rapid.SliceOf(rapid.OneOf(words, rapid.String())).Draw(t, "words"), ""))
+	})
+}
