Add the client of the store and the instance list

Cause: rules and claims need the store over HTTP with failures classified as certainly not written or unknown, and with a bounded share of its rates.

Ruled out: deciding by error type whether a write went out; net/http may write after RoundTrip returned, so the connection counts its writes and is sealed when the request fails. Back-off per call; calls then go out together when an outage ends, so all calls of a client share one gate.

--- /dev/null
+++ b/storeclient/storeclient_test.go
@@ -0,0 +1,307 @@
+package storeclient
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/emulator"
+)
+
+var _ carobbend.Store = (*Client)(nil)
+
+// slow is a time-out that no call of these tests reaches.
+const slow = time.Minute
+
+func newStore(t *testing.T, opts ...Option) (*emulator.Store, *Client) {
+	t.Helper()
+	s := emulator.NewStore()
+	srv := httptest.NewServer(s)
+	c := New(srv.URL, append([]Option{WithTimeout(slow), WithRate(1000), WithBackOff(0, 0)}, opts...)...)
+	t.Cleanup(func() { c.Close(); srv.Close() })
+	return s, c
+}
+
+// Guards against values, revisions and conflicts that change on their way over HTTP.
+func TestStoreOverHTTP(t *testing.T) {
+	ctx := t.Context()
+	_, c := newStore(t)
+	value := []byte("a\x00\xff")
+	for _, step := range []struct {
+		revision uint64
+		want     bool
+	}{{7, false}, {0, true}, {0, false}} {
+		if got, err := c.CompareAndSwap(ctx, "carobbend/x y", value, step.revision); err != nil || got != step.want {
+			t.Fatalf("swap from %d: got %v, %v, want %v", step.revision, got, err, step.want)
+		}
+	}
+	e, err := c.Get(ctx, "carobbend/x y")
+	if err != nil || !reflect.DeepEqual(e.Value, value) || e.Revision == 0 {
+		t.Fatalf("get: got %v, %v", e, err)
+	}
+	if e, err := c.Get(ctx, "missing"); err != nil || e.Revision != 0 {
+		t.Fatalf("missing key: got %v, %v", e, err)
+	}
+	done := make(chan carobbend.Entry, 1)
+	go func() {
+		w, err := c.Watch(ctx, "carobbend/x y", e.Revision, slow)
+		if err != nil {
+			t.Error(err)
+		}
+		done <- w
+	}()
+	if ok, err := c.CompareAndSwap(ctx, "carobbend/x y", nil, e.Revision); !ok || err != nil {
+		t.Fatalf("swap: got %v, %v", ok, err)
+	}
+	if w := <-done; w.Revision <= e.Revision || len(w.Value) != 0 {
+		t.Errorf("watch: got %v", w)
+	}
+	want := Calls{Gets: 2, Swaps: 4, Watches: 1}
+	if got := c.Calls(); got != want {
+		t.Errorf("calls: got %+v, want %+v", got, want)
+	}
+}
+
+// Guards against a failed write that is reported as not written although it took effect, and the reverse.
+func TestFailureKinds(t *testing.T) {
+	status := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	defer srv.Close()
+	for _, tt := range []struct {
+		status     int
+		read, swap carobbend.StoreFailure
+	}{
+		{429, carobbend.StoreLimited, carobbend.StoreLimited},
+		{403, carobbend.StoreUnavailable, carobbend.StoreUnavailable},
+		{503, carobbend.StoreUnavailable, carobbend.StoreUnavailable},
+		{500, carobbend.StoreUnavailable, carobbend.StoreUnknown},
+		{301, carobbend.StoreUnavailable, carobbend.StoreUnknown},
+		{200, carobbend.StoreUnavailable, carobbend.StoreUnknown},
+	} {
+		status = tt.status
+		c := New(srv.URL, WithTimeout(slow), WithBackOff(0, 0))
+		_, rerr := c.Get(t.Context(), "k")
+		_, werr := c.CompareAndSwap(t.Context(), "k", []byte("v"), 0)
+		if r, w := carobbend.StoreFailureOf(rerr), carobbend.StoreFailureOf(werr); r != tt.read || w != tt.swap {
+			t.Errorf("status %d: got %q and %q, want %q and %q", tt.status, r, w, tt.read, tt.swap)
+		}
+		c.Close()
+	}
+	s, c := newStore(t)
+	s.LoseReplies(1)
+	_, err := c.CompareAndSwap(t.Context(), "k", []byte("v"), 0)
+	if got := carobbend.StoreFailureOf(err); got != carobbend.StoreUnknown {
+		t.Errorf("lost reply: got %v", err)
+	}
+	if e, err := c.Get(t.Context(), "k"); err != nil || string(e.Value) != "v" {
+		t.Errorf("read back: got %v, %v", e, err)
+	}
+}
+
+// Guards against a write that net/http sends again on another connection after the reused one died.
+func TestWriteIsNotResent(t *testing.T) {
+	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	var puts atomic.Int64
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answerFirst(conn, &puts)
+		}
+	}()
+	c := New("http://"+ln.Addr().String(), WithTimeout(slow), WithBackOff(0, 0))
+	defer c.Close()
+	if _, err := c.CompareAndSwap(t.Context(), "k", []byte("v"), 0); err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.CompareAndSwap(t.Context(), "k", []byte("w"), 1)
+	if got := carobbend.StoreFailureOf(err); got != carobbend.StoreUnknown {
+		t.Errorf("kind: got %v, want unknown", err)
+	}
+	if got := puts.Load(); got != 2 {
+		t.Errorf("writes received: got %d, want 2", got)
+	}
+}
+
+// answerFirst answers the first request of a connection, reads the second and closes without a reply.
+func answerFirst(conn net.Conn, puts *atomic.Int64) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for i := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		puts.Add(1)
+		if i > 0 {
+			return
+		}
+		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue"); err != nil {
+			return
+		}
+	}
+}
+
+// deadConn fails its writes, like a connection whose peer is gone.
+type deadConn struct {
+	net.Conn
+	hold chan struct{}
+}
+
+func (c *deadConn) Write([]byte) (int, error) { return 0, net.ErrClosed }
+
+func (c *deadConn) Read([]byte) (int, error) { <-c.hold; return 0, net.ErrClosed }
+
+func (c *deadConn) Close() error { return nil }
+
+// Guards against a refusal of operations as unknown where nothing was sent, and against a write attempt that is
+// reported as not written.
+func TestNotWrittenIsUnavailable(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	for _, tt := range []struct {
+		name string
+		dial func(ctx context.Context, network, address string) (net.Conn, error)
+		want carobbend.StoreFailure
+	}{
+		{"refused", func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }, carobbend.StoreUnavailable},
+		{"no connection in time", func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }, carobbend.StoreUnavailable},
+		{"failed write", func(context.Context, string, string) (net.Conn, error) { return &deadConn{hold: hold}, nil }, carobbend.StoreUnknown},
+	} {
+		c := New("http://127.0.0.1:1", WithTimeout(20*time.Millisecond), WithDial(tt.dial))
+		_, err := c.CompareAndSwap(t.Context(), "k", []byte("v"), 0)
+		if got := carobbend.StoreFailureOf(err); got != tt.want {
+			t.Errorf("%s: got %v, want %s", tt.name, err, tt.want)
+		}
+	}
+	c := &trackedConn{}
+	before := c.writes()
+	if after := c.seal(); after != before {
+		t.Errorf("sealed connection: got %d writes, want %d", after, before)
+	}
+	if _, err := c.Write([]byte("x")); err == nil {
+		t.Error("write after the request was reported as not written: got no error")
+	}
+}
+
+// Guards against an instance that takes more than its share of the store's rates, or waits long for it.
+func TestRateCap(t *testing.T) {
+	_, c := newStore(t, WithRate(0.001))
+	if _, err := c.Get(t.Context(), "k"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := c.Get(t.Context(), "k")
+	if got := carobbend.StoreFailureOf(err); got != carobbend.StoreLimited {
+		t.Errorf("got %v, want limited", err)
+	}
+	if got, want := c.Calls(), (Calls{Gets: 1, Limited: 1}); got != want {
+		t.Errorf("calls: got %+v, want %+v", got, want)
+	}
+}
+
+// Guards against calls that all go out at once when an outage ends, and against a call that is never tried again.
+func TestGate(t *testing.T) {
+	g := newGate(100*time.Millisecond, 2*time.Second, 500*time.Millisecond)
+	now := time.Unix(0, 0)
+	var longest time.Duration
+	for range 200 {
+		g.failed(now)
+		wait := g.until.Sub(now)
+		longest = max(longest, wait)
+		if wait > 0 && g.enter(now) {
+			t.Fatal("a call passed during the back-off")
+		}
+		until := g.until
+		g.failed(now)
+		if wait > 0 && !g.until.Equal(until) {
+			t.Fatal("a call in flight moved the back-off")
+		}
+		now = g.until
+		passed := 0
+		for range 10 {
+			if g.enter(now) {
+				passed++
+			}
+		}
+		if passed != 1 {
+			t.Fatalf("calls after the back-off: got %d, want 1", passed)
+		}
+	}
+	if longest > 2*time.Second || longest < time.Second {
+		t.Errorf("longest wait: got %v, want close to 2s", longest)
+	}
+	g.abandoned()
+	if !g.enter(now) {
+		t.Error("after an abandoned call: got no call passed, want one")
+	}
+	g.succeeded()
+	for range 2 {
+		if !g.enter(now) {
+			t.Error("after a success: got a refused call")
+		}
+	}
+}
+
+// Guards against calls that reach a store which is down, one for each request of the instance.
+func TestOutageIsBackedOff(t *testing.T) {
+	s, c := newStore(t, WithBackOff(time.Hour, time.Hour))
+	s.SetOutage(true)
+	for range 50 {
+		if _, err := c.Get(t.Context(), "k"); carobbend.StoreFailureOf(err) != carobbend.StoreUnavailable {
+			t.Fatalf("got %v, want unavailable", err)
+		}
+	}
+	if got, want := c.Calls(), (Calls{Gets: 1, BackedOff: 49, Failed: 1}); got != want {
+		t.Errorf("calls: got %+v, want %+v", got, want)
+	}
+}
+
+// Guards against an instance that stays listed, is not seen as leaving, or loses its addresses.
+func TestList(t *testing.T) {
+	srv := httptest.NewServer(emulator.NewList())
+	defer srv.Close()
+	l := NewList(srv.URL, "carobbend", WithTimeout(slow))
+	defer l.Close()
+	ctx := t.Context()
+	r := Registration{AdminAddress: "127.0.0.1:3", Instance: carobbend.Instance{
+		Name: "a", Incarnation: "i", DataCentre: "leon", CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2",
+	}}
+	leaving := r
+	leaving.Instance.Leaving = true
+	for _, step := range []struct {
+		name string
+		do   func() error
+		want []Registration
+	}{
+		{"register", func() error { return l.Register(ctx, r) }, []Registration{r}},
+		{"pass", func() error { return l.Pass(ctx, "a") }, []Registration{r}},
+		{"leaving", func() error { return l.SetLeaving(ctx, "a", true) }, []Registration{leaving}},
+		{"back", func() error { return l.SetLeaving(ctx, "a", false) }, []Registration{r}},
+		{"deregister", func() error { return l.Deregister(ctx, "a") }, []Registration{}},
+	} {
+		if err := step.do(); err != nil {
+			t.Fatalf("%s: %v", step.name, err)
+		}
+		got, err := l.Instances(ctx)
+		if err != nil || !reflect.DeepEqual(got, step.want) {
+			t.Errorf("%s: got %v, %v, want %v", step.name, got, err, step.want)
+		}
+	}
+}
--- /dev/null
+++ b/storeclient/transport.go
@@ -0,0 +1,304 @@
+package storeclient
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"carobbend.example/carobbend"
+)
+
+const (
+	// maxRateWait is how long a call may wait for the token bucket before it fails as limited.
+	maxRateWait     = 25 * time.Millisecond
+	idleTimeout     = 30 * time.Second
+	maxIdle         = 8
+	keepAlivePeriod = 5 * time.Second
+)
+
+var (
+	errBackOff = errors.New("backing off after failed calls")
+	errCapped  = errors.New("the rate cap of this instance is reached")
+)
+
+// Option configures a Client or a List.
+type Option func(*config)
+
+type config struct {
+	timeout time.Duration
+	rate    float64
+	backOff [2]time.Duration
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// WithTimeout bounds one call; a watch has its wait in addition.
+func WithTimeout(d time.Duration) Option { return func(c *config) { c.timeout = d } }
+
+// WithRate caps the calls a second; a burst of one second is allowed.
+func WithRate(perSecond float64) Option { return func(c *config) { c.rate = perSecond } }
+
+// WithBackOff sets the bounds of the jittered wait after the first failure and after many.
+func WithBackOff(first, most time.Duration) Option {
+	return func(c *config) { c.backOff = [2]time.Duration{first, most} }
+}
+
+// WithDial replaces the opening of connections; it is for tests.
+func WithDial(f func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *config) { c.dial = f }
+}
+
+type transport struct {
+	base    string
+	timeout time.Duration
+	http    *http.Transport
+	limiter *rate.Limiter
+	gate    *gate
+	count   counters
+}
+
+func newTransport(base string, opts []Option) *transport {
+	c := config{timeout: DefaultTimeout, rate: DefaultRate, backOff: [2]time.Duration{DefaultFirstBackOff, DefaultMaxBackOff}}
+	c.dial = (&net.Dialer{KeepAlive: keepAlivePeriod}).DialContext
+	for _, o := range opts {
+		o(&c)
+	}
+	t := &transport{base: strings.TrimSuffix(base, "/"), timeout: c.timeout}
+	t.limiter = rate.NewLimiter(rate.Limit(c.rate), max(1, int(c.rate)))
+	t.gate = newGate(c.backOff[0], c.backOff[1], c.timeout)
+	t.http = &http.Transport{
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := c.dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: conn}, nil
+		},
+	}
+	return t
+}
+
+func (t *transport) calls() Calls {
+	c := &t.count
+	return Calls{
+		Gets: c.gets.Load(), Swaps: c.swaps.Load(), Watches: c.watches.Load(), Lists: c.lists.Load(),
+		Limited: c.limited.Load(), BackedOff: c.backedOff.Load(), Failed: c.failed.Load(),
+	}
+}
+
+type request struct {
+	op, key      string
+	method, path string
+	query        url.Values
+	body         []byte
+	// wait is the time for which the server may hold the call.
+	wait  time.Duration
+	count *atomic.Int64
+}
+
+type reply struct {
+	status int
+	body   []byte
+}
+
+func (t *transport) call(ctx context.Context, q request) (reply, error) {
+	if err := t.admit(ctx, q); err != nil {
+		return reply{}, err
+	}
+	q.count.Add(1)
+	cctx, cancel := context.WithTimeout(ctx, q.wait+t.timeout)
+	defer cancel()
+	rep, kind, err := t.send(cctx, q)
+	if err == nil {
+		t.gate.succeeded()
+		return rep, nil
+	}
+	t.count.failed.Add(1)
+	switch {
+	case rep.status >= 400 && rep.status < 500 && rep.status != http.StatusTooManyRequests:
+		// The server works and refused this call alone.
+		t.gate.succeeded()
+	case ctx.Err() != nil:
+		// The caller gave up; that says nothing about the store.
+		t.gate.abandoned()
+	default:
+		t.gate.failed(time.Now())
+	}
+	return reply{}, storeError(q.op, q.key, kind, err)
+}
+
+// admit waits shortly for the rate cap and refuses calls during a back-off. Refused calls were not sent.
+func (t *transport) admit(ctx context.Context, q request) error {
+	if !t.gate.enter(time.Now()) {
+		t.count.backedOff.Add(1)
+		return storeError(q.op, q.key, carobbend.StoreUnavailable, errBackOff)
+	}
+	res := t.limiter.Reserve()
+	d := res.Delay()
+	if !res.OK() || d > maxRateWait {
+		res.Cancel()
+		t.gate.abandoned()
+		t.count.limited.Add(1)
+		return storeError(q.op, q.key, carobbend.StoreLimited, errCapped)
+	}
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		res.Cancel()
+		t.gate.abandoned()
+		return storeError(q.op, q.key, carobbend.StoreUnavailable, ctx.Err())
+	}
+}
+
+func (t *transport) send(ctx context.Context, q request) (reply, carobbend.StoreFailure, error) {
+	var track tracker
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: track.gotConn})
+	u := t.base + q.path
+	if len(q.query) > 0 {
+		u += "?" + q.query.Encode()
+	}
+	var body io.Reader
+	if q.body != nil {
+		body = oneUse{bytes.NewReader(q.body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, q.method, u, body)
+	if err != nil {
+		return reply{}, carobbend.StoreUnavailable, err
+	}
+	if q.body != nil {
+		req.ContentLength = int64(len(q.body))
+	}
+	res, err := t.http.RoundTrip(req)
+	if err != nil {
+		return reply{}, track.failure(q.method), err
+	}
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	if cerr := res.Body.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil && len(b) > maxReplyBytes {
+		err = fmt.Errorf("reply: expected at most %d bytes", maxReplyBytes)
+	}
+	if err != nil {
+		return reply{}, failureOf(q.method), err
+	}
+	if kind, err := statusError(q.method, res.StatusCode, b); err != nil {
+		return reply{status: res.StatusCode}, kind, err
+	}
+	return reply{status: res.StatusCode, body: b}, "", nil
+}
+
+// statusError classifies a reply. A refusal by 4xx or 503 happens before a write takes effect; any other status of a
+// write leaves that open.
+func statusError(method string, status int, body []byte) (carobbend.StoreFailure, error) {
+	switch {
+	case status >= 200 && status < 300:
+		return "", nil
+	case status == http.StatusNotFound && method == http.MethodGet:
+		return "", nil
+	}
+	err := fmt.Errorf("status %d: %s", status, bytes.TrimSpace(body[:min(len(body), maxErrorBytes)]))
+	switch {
+	case status == http.StatusTooManyRequests:
+		return carobbend.StoreLimited, err
+	case status >= 400 && status < 500, status == http.StatusServiceUnavailable:
+		return carobbend.StoreUnavailable, err
+	default:
+		return failureOf(method), err
+	}
+}
+
+func failureOf(method string) carobbend.StoreFailure {
+	if method == http.MethodGet {
+		return carobbend.StoreUnavailable
+	}
+	return carobbend.StoreUnknown
+}
+
+// tracker records the connections that a request was given.
+type tracker struct {
+	mu    sync.Mutex
+	conns []net.Conn
+	marks []int64
+}
+
+func (t *tracker) gotConn(info httptrace.GotConnInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns = append(t.conns, info.Conn)
+	var mark int64
+	if c, ok := info.Conn.(*trackedConn); ok {
+		mark = c.writes()
+	}
+	t.marks = append(t.marks, mark)
+}
+
+// failure returns StoreUnavailable only if no byte of the request was written and none can be written anymore.
+func (t *tracker) failure(method string) carobbend.StoreFailure {
+	if method == http.MethodGet {
+		return carobbend.StoreUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kind := carobbend.StoreUnavailable
+	for i, conn := range t.conns {
+		c, ok := conn.(*trackedConn)
+		if !ok || c.seal() != t.marks[i] {
+			kind = carobbend.StoreUnknown
+		}
+	}
+	return kind
+}
+
+// trackedConn counts writes. After a failed request it is sealed, since net/http may still be about to write.
+type trackedConn struct {
+	net.Conn
+	mu     sync.Mutex
+	n      int64
+	sealed bool
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.n++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *trackedConn) writes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+func (c *trackedConn) seal() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.n
+}
