Add the publisher of rule files

Cause: an apply must have exactly one winner per version, and a lost reply must end as in force, not accepted or unknown, never as a guess.

Ruled out: concluding from an unchanged revision that a lost write was not accepted; it may still arrive. The same write is repeated against the same revision instead, where only one of the two can take effect.

--- a/parser/explain.go
+++ b/parser/explain.go
@@ -141,14 +141,18 @@
 	var out []string
 	for _, l := range strings.Split(text, "\n") {
 		l = strings.TrimSpace(l)
-		first, _, _ := strings.Cut(l, " ")
-		if l != "" && first != versionWord {
+		if l != "" && !isVersion(l) {
 			out = append(out, l)
 		}
 	}
 	return out
 }
 
+func isVersion(line string) bool {
+	words := strings.Fields(line)
+	return len(words) > 0 && words[0] == versionWord
+}
+
 func subtract(a, b []string) []string {
 	n := map[string]int{}
 	for _, l := range b {
--- a/parser/ruleset.go
+++ b/parser/ruleset.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"strings"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -87,6 +88,20 @@
 // Text returns the file as it was parsed.
 func (r *Ruleset) Text() string { return r.text }
 
+// Body returns the file without its version line.
+func (r *Ruleset) Body() string {
+	if !r.hasBase {
+		return r.text
+	}
+	lines := strings.SplitAfter(r.text, "\n")
+	for i, l := range lines {
+		if isVersion(l) {
+			return strings.Join(append(lines[:i:i], lines[i+1:]...), "")
+		}
+	}
+	return r.text
+}
+
 // List returns the rules in the order of the file.
 func (r *Ruleset) List() []Rule { return append([]Rule(nil), r.rules...) }
 
--- /dev/null
+++ b/publisher/publisher.go
@@ -0,0 +1,354 @@
+// Package publisher applies rule files to the store and reads them and their audit trail back.
+//
+// A file is applied with one compare-and-swap on one key, from the version that the operator started from. Of two
+// operators who start from the same version exactly one succeeds. When the reply to the write is lost, the publisher
+// reads the key back and looks for its own change id; it repeats the same write only against the same revision, so
+// that it takes effect at most once. The result is never guessed.
+//
+// # Usage
+//
+//	p := publisher.New(storeclient.New(url))
+//	res, err := p.Apply(ctx, publisher.Request{File: name, Text: text, From: 41, FromStated: true, Who: "mette"})
+//	if err != nil {
+//		// the file or the request is invalid; nothing was written
+//	}
+//	fmt.Println(res.Outcome, res.Detail)
+package publisher
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"google.golang.org/protobuf/proto"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/encoder"
+	"carobbend.example/carobbend/parser"
+)
+
+// Key holds the rule file in the store, as an encoder.RulesValue.
+const Key = "carobbend/rules"
+
+const (
+	// DefaultResolve bounds the time for which Apply tries to find out what became of a lost reply.
+	DefaultResolve = 5 * time.Second
+	// DefaultMaxBytes bounds the value; the store accepts 1 MB.
+	DefaultMaxBytes = 900_000
+	// DefaultKeep is the number of audit entries that the value holds.
+	DefaultKeep = 64
+
+	firstRetry = 25 * time.Millisecond
+	maxRetry   = 250 * time.Millisecond
+)
+
+// ErrorKind says why a call failed.
+type ErrorKind string
+
+const (
+	// KindInvalid says that the request is incomplete or contradicts itself.
+	KindInvalid ErrorKind = "invalid"
+	// KindStore says that the store gave no usable reply.
+	KindStore ErrorKind = "store"
+	// KindValue says that the store holds a value that is no rule file.
+	KindValue ErrorKind = "value"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("publisher %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Outcome says what became of an apply.
+type Outcome string
+
+const (
+	// InForce says that the file was committed.
+	InForce Outcome = "in force"
+	// NotAccepted says that nothing changed and nothing will.
+	NotAccepted Outcome = "not accepted"
+	// Unknown says that the write may have been committed or may still be.
+	Unknown Outcome = "unknown"
+)
+
+// Request is one apply.
+type Request struct {
+	// File names the rule file in errors.
+	File string
+	// Text is the rule file.
+	Text string
+	// From is the version that the operator started from; it must agree with the version line of the file.
+	From uint64
+	// FromStated says that From is set. Without it the version line counts, and without that version 0.
+	FromStated bool
+	// Who names the operator.
+	Who string
+}
+
+// Result is what became of an apply.
+type Result struct {
+	Outcome Outcome
+	// Version is the version of the change where it is in force, and the one that it would have otherwise.
+	Version uint64
+	// ChangeID identifies the change in the audit trail; empty where nothing was written.
+	ChangeID string
+	// Latest is the version that was last seen in the store.
+	Latest uint64
+	// Changes explains the change rule by rule.
+	Changes []parser.Change
+	// Others lists the changes of other operators since the version that the operator started from.
+	Others []*encoder.RulesChange
+	// Detail explains the outcome, and for Unknown how to find out.
+	Detail string
+}
+
+// Publisher applies rule files. It is safe for concurrent use.
+type Publisher struct {
+	store    carobbend.Store
+	resolve  time.Duration
+	maxBytes int
+	keep     int
+}
+
+// Option configures a Publisher.
+type Option func(*Publisher)
+
+// WithResolve bounds the time for which Apply tries to find out what became of a lost reply; 0 means one try.
+func WithResolve(d time.Duration) Option { return func(p *Publisher) { p.resolve = d } }
+
+// WithMaxBytes bounds the value in the store and each page of older audit entries.
+func WithMaxBytes(n int) Option { return func(p *Publisher) { p.maxBytes = n } }
+
+// WithKeep sets the number of audit entries that the value holds; older ones move to further keys.
+func WithKeep(n int) Option { return func(p *Publisher) { p.keep = max(1, n) } }
+
+// New returns a publisher on a store.
+func New(store carobbend.Store, opts ...Option) *Publisher {
+	p := &Publisher{store: store, resolve: DefaultResolve, maxBytes: DefaultMaxBytes, keep: DefaultKeep}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// Current returns the value in the store; an empty store holds version 0.
+func (p *Publisher) Current(ctx context.Context) (*encoder.RulesValue, error) {
+	v, _, err := p.read(ctx, "read")
+	return v, err
+}
+
+// Apply commits a rule file. The error is a *parser.Error or an *Error of KindInvalid; it means that nothing was
+// written. All other ends are outcomes.
+func (p *Publisher) Apply(ctx context.Context, req Request) (Result, error) {
+	rules, err := parser.Parse(req.File, req.Text)
+	if err != nil {
+		return Result{}, err
+	}
+	from, err := base(req, rules)
+	if err != nil {
+		return Result{}, err
+	}
+	cur, revision, err := p.read(ctx, "apply")
+	if err != nil {
+		return notWritten(Result{Version: from + 1}, err), nil
+	}
+	res := Result{Version: from + 1, Latest: cur.GetVersion()}
+	if cur.GetVersion() != from {
+		return p.conflict(ctx, res, cur, from), nil
+	}
+	if before, err := parser.Parse(Key, cur.GetText()); err == nil {
+		res.Changes = parser.Explain(before, rules)
+	}
+	if cur.GetText() == rules.Body() && from > 0 {
+		res.Outcome, res.Version, res.ChangeID = InForce, from, cur.GetChangeId()
+		res.Detail = fmt.Sprintf("version %d has this text already; nothing was written", from)
+		return res, nil
+	}
+	next := p.next(cur, rules, req.Who)
+	if err := p.bound(ctx, next); err != nil {
+		// Audit entries can't be moved after another apply has moved them; its change is then the reason.
+		if cur, _, rerr := p.read(ctx, "read back"); rerr == nil && cur.GetVersion() != from {
+			return p.conflict(ctx, res, cur, from), nil
+		}
+		return notWritten(res, err), nil
+	}
+	res.ChangeID = next.GetChangeId()
+	return p.commit(ctx, res, next, revision), nil
+}
+
+func base(req Request, rules *parser.Ruleset) (uint64, error) {
+	if req.Who == "" {
+		return 0, &Error{Op: "apply", Kind: KindInvalid, Err: errors.New("no name given: expected who applies the file")}
+	}
+	line, stated := rules.Base()
+	if req.FromStated && stated && line != req.From {
+		return 0, &Error{Op: "apply", Kind: KindInvalid, Err: fmt.Errorf(
+			"%s states version %d, but the request starts from version %d: expected one version", req.File, line, req.From)}
+	}
+	if req.FromStated {
+		return req.From, nil
+	}
+	return line, nil
+}
+
+func (p *Publisher) next(cur *encoder.RulesValue, rules *parser.Ruleset, who string) *encoder.RulesValue {
+	now := time.Now()
+	// A ULID of crypto/rand fails only without a source of randomness.
+	id := ulid.MustNew(ulid.Timestamp(now), rand.Reader).String()
+	removed, added := parser.Diff(cur.GetText(), rules.Body())
+	change := &encoder.RulesChange{
+		Version: cur.GetVersion() + 1, FromVersion: cur.GetVersion(), ChangeId: id, Who: who,
+		UnixMs: now.UnixMilli(), Removed: removed, Added: added,
+	}
+	changes := append([]*encoder.RulesChange(nil), cur.GetChanges()...)
+	return &encoder.RulesValue{Version: change.GetVersion(), ChangeId: id, Text: rules.Body(), Changes: append(changes, change)}
+}
+
+// commit writes the value, and finds out what became of the write where its reply is lost.
+func (p *Publisher) commit(ctx context.Context, res Result, next *encoder.RulesValue, revision uint64) Result {
+	b, err := proto.Marshal(next)
+	if err != nil {
+		return notWritten(res, err)
+	}
+	swapped, err := p.store.CompareAndSwap(ctx, Key, b, revision)
+	switch {
+	case err == nil && swapped:
+		return committed(res)
+	case err != nil && carobbend.StoreFailureOf(err) != carobbend.StoreUnknown:
+		return notWritten(res, err)
+	case err == nil:
+		// The swap can't take effect anymore; only the other's change is still to be read.
+		if cur, _, rerr := p.read(ctx, "read back"); rerr == nil {
+			return p.conflict(ctx, res, cur, next.GetVersion()-1)
+		}
+		res.Outcome, res.Detail = NotAccepted, "another operator's change came first; it can't be read now"
+		return res
+	}
+	return p.findOut(ctx, res, b, revision, err)
+}
+
+// findOut reads back until the fate of a write is certain or the time is over. While the key still has the revision
+// that the write started from, the write may be on its way; repeating it against that revision is safe, since only
+// one of the two can take effect.
+func (p *Publisher) findOut(ctx context.Context, res Result, value []byte, revision uint64, cause error) Result {
+	end := time.Now().Add(p.resolve)
+	for pause := firstRetry; ; pause = min(2*pause, maxRetry) {
+		if done, ok := p.lookBack(ctx, res, value, revision); ok {
+			return done
+		}
+		if time.Now().Add(pause).After(end) || !sleep(ctx, pause) {
+			break
+		}
+	}
+	res.Outcome = Unknown
+	res.Detail = fmt.Sprintf("the write may have taken effect: %v. To find out, run \"carobbend rules log\" when the store answers again "+
+		"and look for change %s: if it is listed, it is in force or was replaced by a later version; if version %d is listed with another "+
+		"change, it was not accepted; if neither is listed, applying the file again from version %d is safe",
+		cause, res.ChangeID, res.Version, res.Version-1)
+	return res
+}
+
+func (p *Publisher) lookBack(ctx context.Context, res Result, value []byte, revision uint64) (Result, bool) {
+	cur, rev, err := p.read(ctx, "read back")
+	if err != nil {
+		return res, false
+	}
+	if rev != revision {
+		return p.verdict(ctx, res, cur)
+	}
+	swapped, err := p.store.CompareAndSwap(ctx, Key, value, revision)
+	if err == nil && swapped {
+		return committed(res), true
+	}
+	return res, false
+}
+
+// verdict decides after the key has moved on: the write is in the audit trail, or it can't take effect anymore.
+func (p *Publisher) verdict(ctx context.Context, res Result, cur *encoder.RulesValue) (Result, bool) {
+	res.Latest = cur.GetVersion()
+	changes, err := p.since(ctx, cur, res.Version-1)
+	if err != nil {
+		return res, false
+	}
+	for _, c := range changes {
+		if c.GetVersion() == res.Version && c.GetChangeId() == res.ChangeID {
+			return committed(res), true
+		}
+	}
+	return p.conflict(ctx, res, cur, res.Version-1), true
+}
+
+func notWritten(res Result, err error) Result {
+	res.Outcome, res.Detail = NotAccepted, "nothing was written: "+err.Error()
+	return res
+}
+
+func committed(res Result) Result {
+	res.Outcome = InForce
+	res.Detail = fmt.Sprintf("version %d is in force", res.Version)
+	if res.Latest > res.Version {
+		res.Detail = fmt.Sprintf("version %d was accepted; version %d has replaced it since", res.Version, res.Latest)
+	}
+	res.Latest = max(res.Latest, res.Version)
+	return res
+}
+
+func (p *Publisher) conflict(ctx context.Context, res Result, cur *encoder.RulesValue, from uint64) Result {
+	res.Outcome, res.Latest, res.Changes = NotAccepted, cur.GetVersion(), nil
+	if from > cur.GetVersion() {
+		res.Detail = fmt.Sprintf("version %d doesn't exist yet; the store holds version %d; nothing changed", from, cur.GetVersion())
+		return res
+	}
+	res.Detail = fmt.Sprintf("the store holds version %d, and the file starts from version %d; nothing changed. "+
+		"Take the changes below into the file, set its first line to \"version %d\" and apply it again", cur.GetVersion(), from, cur.GetVersion())
+	others, err := p.since(ctx, cur, from)
+	if err != nil {
+		res.Detail += " (older changes can't be read now: " + err.Error() + ")"
+		others = after(cur.GetChanges(), from)
+	}
+	res.Others = others
+	return res
+}
+
+// read returns the value and its revision.
+func (p *Publisher) read(ctx context.Context, op string) (*encoder.RulesValue, uint64, error) {
+	e, err := p.store.Get(ctx, Key)
+	if err != nil {
+		return nil, 0, &Error{Op: op, Kind: KindStore, Err: err}
+	}
+	v, err := decode(op, e)
+	return v, e.Revision, err
+}
+
+func decode(op string, e carobbend.Entry) (*encoder.RulesValue, error) {
+	v := &encoder.RulesValue{}
+	if e.Revision == 0 {
+		return v, nil
+	}
+	if err := proto.Unmarshal(e.Value, v); err != nil {
+		return nil, &Error{Op: op, Kind: KindValue, Err: fmt.Errorf("key %s: expected a rule file: %w", e.Key, err)}
+	}
+	return v, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
