Add the distributor of rules in force

Cause: an accepted version must be in force on each instance within 5 s and never revert, with a bounded number of calls to the store, and an instance that is cut off must know it.

Ruled out: a lease for the watchers; a duplicate watch costs one call and does no harm. Random questions between peers alone; in a fleet of 150 with 4 watchers some instances were then unconfirmed for over 6 s and read the store themselves, so an instance asks a watcher of its data centre after 3 s. Passing on a boolean confirmation; two instances without the store would keep each other confirmed, so the age counts from the asker's own clock.

--- /dev/null
+++ b/distributor/distributor.go
@@ -0,0 +1,242 @@
+// Package distributor keeps the rules in force on an instance and passes committed versions on to its peers.
+//
+// Few instances watch the store: the two preferred ones of each data centre, in rendezvous order over the live
+// members. A watcher that learns of a version notifies the peers of its data centre and the watchers of the others;
+// in addition each instance asks a random peer each second. The version in force only rises.
+//
+// Each reply between peers states how long ago its sender's version was confirmed against the store. An instance
+// takes over that moment, counted from when it sent its request, so that instances without the store can't keep
+// confirming each other. After DefaultStale without a confirmation, or after a pause of the process, Confirmed is
+// false and the instance should not be named to callers.
+//
+// The state machine in core.go does no I/O; Run gives it the store, the peers and the clock.
+//
+// # Usage
+//
+//	d := distributor.New(store, peers)
+//	g.Go(func() error { return d.Run(ctx) })
+//	rules := d.Rules()
+//	named := d.Ready() && d.Confirmed(time.Now())
+package distributor
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/encoder"
+	"carobbend.example/carobbend/logger"
+	"carobbend.example/carobbend/parser"
+	"carobbend.example/carobbend/publisher"
+)
+
+const (
+	// DefaultStale is how long an instance may go without a confirmation against the store.
+	DefaultStale = 10 * time.Second
+
+	tickInterval = 200 * time.Millisecond
+	ticksPerView = 5
+	askTimeout   = time.Second
+	// watchWait bounds a watch, so that a silent connection delays a version by less than 5 s.
+	watchWait = 2 * time.Second
+	idleWait  = 50 * time.Millisecond
+	// maxAsks bounds the requests to peers in flight; further ones are left to the next second.
+	maxAsks = 512
+)
+
+var log = logger.New("distributor")
+
+// Distributor implements carobbend.RulesSource and carobbend.PeerHandler. It is safe for concurrent use.
+type Distributor struct {
+	store carobbend.Store
+	peers carobbend.Peers
+	rules atomic.Pointer[parser.Ruleset]
+
+	mu   sync.Mutex
+	core *core
+	// ctx is the context of Run; it is valid while running is set.
+	ctx     context.Context
+	running bool
+	asks    sync.WaitGroup
+	open    int
+}
+
+// Option configures a Distributor.
+type Option func(*Distributor)
+
+// WithStale sets how long an instance may go without a confirmation against the store.
+func WithStale(d time.Duration) Option { return func(x *Distributor) { x.core.stale = d } }
+
+// WithSeed fixes the random choices; it is for tests.
+func WithSeed(seed uint64) Option {
+	return func(x *Distributor) { x.core.rng = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a distributor with the default rules; peers is nil for an instance that is alone.
+func New(store carobbend.Store, peers carobbend.Peers, opts ...Option) *Distributor {
+	d := &Distributor{store: store, peers: peers}
+	d.core = newCore(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), d.rules.Store)
+	for _, o := range opts {
+		o(d)
+	}
+	return d
+}
+
+// Rules implements carobbend.RulesSource.
+func (d *Distributor) Rules() carobbend.Rules { return d.rules.Load() }
+
+// Ready reports whether the instance has rules in force: a committed version, or the defaults after the store
+// confirmed that it holds none.
+func (d *Distributor) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.ready
+}
+
+// Confirmed reports whether the store was reached, directly or through peers, recently enough for this instance to
+// be named to callers. It is false after a pause of the process until the next confirmation.
+func (d *Distributor) Confirmed(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.confirmed(now)
+}
+
+// HandlePeer implements carobbend.PeerHandler; it answers RulesRequest.
+func (d *Distributor) HandlePeer(_ context.Context, from string, req *encoder.Frame) *encoder.Frame {
+	q := req.GetRulesRequest()
+	if q == nil {
+		return nil
+	}
+	var reply *encoder.RulesReply
+	d.step(func(now time.Time) effects {
+		var e effects
+		reply, e = d.core.asked(now, from, q.GetHave())
+		return e
+	})
+	return &encoder.Frame{Body: &encoder.Frame_RulesReply{RulesReply: reply}}
+}
+
+// Run keeps the rules up to date until ctx is done, and returns nil then.
+func (d *Distributor) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	d.setRunning(ctx, true)
+	g.Go(func() error { d.tick(ctx); return nil })
+	g.Go(func() error { d.read(ctx); return nil })
+	err := g.Wait()
+	d.setRunning(ctx, false)
+	d.asks.Wait()
+	return err
+}
+
+func (d *Distributor) setRunning(ctx context.Context, running bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ctx, d.running = ctx, running
+}
+
+func (d *Distributor) tick(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	var v view
+	for n := 0; ; n++ {
+		if n%ticksPerView == 0 {
+			// Outside of the lock, since the members may ask this distributor for the state of this instance.
+			v = d.members()
+		}
+		d.step(func(now time.Time) effects { return d.core.tick(now, v) })
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Distributor) members() view {
+	if d.peers == nil {
+		return newView(nil)
+	}
+	return newView(d.peers)
+}
+
+// read makes the calls to the store that the core asks for, one at a time.
+func (d *Distributor) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		call, revision := d.core.storeCall(time.Now())
+		d.mu.Unlock()
+		sent := time.Now()
+		var e carobbend.Entry
+		var err error
+		switch call {
+		case callNone:
+			sleep(ctx, idleWait)
+			continue
+		case callGet:
+			e, err = d.store.Get(ctx, publisher.Key)
+		case callWatch:
+			e, err = d.store.Watch(ctx, publisher.Key, revision, watchWait)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		d.step(func(now time.Time) effects {
+			if err != nil {
+				return d.core.storeFailed(now, err)
+			}
+			return d.core.storeValue(now, sent, e)
+		})
+	}
+}
+
+// step runs one event and its effects.
+func (d *Distributor) step(event func(now time.Time) effects) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := event(time.Now())
+	for _, l := range e.log {
+		if l.err != nil {
+			log.Error(l.err, l.event, l.fields...)
+		} else {
+			log.Info(l.event, l.fields...)
+		}
+	}
+	for _, a := range e.asks {
+		d.askLocked(a)
+	}
+}
+
+func (d *Distributor) askLocked(a ask) {
+	if !d.running || d.peers == nil || d.open >= maxAsks {
+		return
+	}
+	d.open++
+	ctx, sent := d.ctx, time.Now()
+	req := &encoder.Frame{Body: &encoder.Frame_RulesRequest{RulesRequest: &encoder.RulesRequest{Have: d.core.version()}}}
+	d.asks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		rep, err := d.peers.Ask(ctx, a.peer, req)
+		d.step(func(now time.Time) effects {
+			d.open--
+			if err != nil || rep.GetRulesReply() == nil {
+				return d.core.peerFailed(now, a)
+			}
+			return d.core.peerReply(now, sent, a, rep.GetRulesReply())
+		})
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
