--- /dev/null
+++ b/cmd/carobbend/rules_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carobbend.example/carobbend/emulator"
+)
+
+// command runs the program and returns its exit code and all output.
+func command(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	f, err := os.Create(filepath.Join(t.TempDir(), "out"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stdout, stderr := os.Stdout, os.Stderr
+	os.Stdout, os.Stderr = f, f
+	code := run(args)
+	os.Stdout, os.Stderr = stdout, stderr
+	b, err := os.ReadFile(f.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return code, string(b)
+}
+
+// Guards against exit codes and messages that hide whether a rule file is in force, and where.
+func TestRulesCommands(t *testing.T) {
+	store, list := emulator.NewStore(), emulator.NewList()
+	lost := false
+	storeSrv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if lost && r.Method == http.MethodPut {
+			defer store.SetOutage(true)
+			store.LoseReplies(1)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	defer storeSrv.Close()
+	listSrv := httptest.NewServer(list)
+	defer listSrv.Close()
+	versions := []int{1, 0}
+	for i := range versions {
+		admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != versionPath || r.Header.Get("Authorization") != "Bearer secret" {
+				w.WriteHeader(http.StatusForbidden)
+				return
+			}
+			if _, err := fmt.Fprintf(w, `{"instance":"i%d","rules-version":%d,"ready":true}`, i, versions[i]); err != nil {
+				t.Error(err)
+			}
+		}))
+		defer admin.Close()
+		list.Register(emulator.Service{ID: fmt.Sprint("i", i), Name: "carobbend", Meta: map[string]string{"admin-address": strings.TrimPrefix(admin.URL, "http://")}})
+	}
+	file := filepath.Join(t.TempDir(), "x.rules")
+	for _, step := range []struct {
+		name, text, args string
+		before           func()
+		code             int
+		want             []string
+	}{
+		{"check", "version 0\nat-most-once book-crew # Mette\n", "check FILE", nil, 0, []string{"added: at-most-once", "valid, 1 rules"}},
+		{"bad file", "share leon 0 # Ana\nshar\n", "check FILE", nil, 2, []string{":1:12:", ":2:1:"}},
+		{"missing file", "", "check FILE.missing", nil, 2, []string{"no such file"}},
+		{"bad file", "share leon 0 # Ana\n", "apply FILE STORE", nil, 2, []string{":1:12:"}},
+		{"bad URL", "", "apply FILE --store 127.0.0.1", nil, 2, []string{"expected a URL"}},
+		{"empty store", "", "show STORE", nil, 0, []string{"version 0"}},
+		{"one instance behind", "version 0\nat-most-once book-crew # Mette\n", "apply FILE STORE", nil, 5, []string{"in force on 1 of 2", "i1 at 127", "version 0"}},
+		{"stale", "version 0\nshare leon 2 # Ana\n", "apply FILE STORE", nil, 1, []string{"not accepted", "by mette", "+ at-most-once"}},
+		{"no version", "share leon 2 # Ana\n", "apply FILE STORE", nil, 1, []string{"the file states none"}},
+		{"two versions", "version 1\n", "apply FILE STORE --from 2", nil, 2, []string{"expected one version"}},
+		{"struck", "share leon 2 # Ana\n", "apply FILE STORE --from 1", func() { versions[0], versions[1] = 2, 2 }, 0, []string{"may run twice", "in force on 2 of 2"}},
+		{"show", "", "show STORE", nil, 0, []string{"version 2\nshare leon 2 # Ana\n"}},
+		{"log", "", "log STORE", nil, 0, []string{"version 1 from 0", "version 2 from 1", "- at-most-once book-crew # Mette"}},
+		{"status", "", "status STORE", nil, 0, []string{"store: version 2", "i0 at", "2 of 2"}},
+		{"lost reply, store down", "version 2\nshare leon 3 # Ana\n", "apply FILE STORE", func() { lost = true }, 4, []string{"rules log", "unknown"}},
+		{"store down", "version 2\nshare leon 3 # Ana\n", "apply FILE STORE", nil, 1, []string{"nothing was written"}},
+		{"store down", "", "status STORE", nil, 1, []string{"i0 at", "unavailable"}},
+	} {
+		if step.before != nil {
+			step.before()
+		}
+		if err := os.WriteFile(file, []byte(step.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		args := strings.ReplaceAll(step.args, "FILE", file)
+		args = strings.ReplaceAll(args, "STORE", fmt.Sprintf("--store %s --timeout 1m", storeSrv.URL))
+		if strings.HasPrefix(args, "apply") {
+			args += " --who mette --wait 60ms"
+		}
+		if strings.HasPrefix(args, "apply") || strings.HasPrefix(args, "status") {
+			args += " --admin-token secret --list " + listSrv.URL
+		}
+		code, out := command(t, append([]string{"rules"}, strings.Fields(args)...)...)
+		if code != step.code {
+			t.Errorf("%s: got exit code %d, want %d\n%s", step.name, code, step.code, out)
+		}
+		for _, w := range step.want {
+			if !strings.Contains(out, w) {
+				t.Errorf("%s: got %q, want it to hold %q", step.name, out, w)
+			}
+		}
+	}
+}
+
+// Guards against a half-written file that is applied, and against a save that is not.
+func TestWatchFileWaitsForTheWholeFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "x.rules")
+	synctest.Test(t, func(t *testing.T) {
+		write := func(text string) {
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(watchPoll * 6 / 10)
+		}
+		var got []string
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		write("a")
+		go watchFile(ctx, file, func() {
+			b, err := os.ReadFile(file)
+			if err != nil {
+				t.Error(err)
+			}
+			got = append(got, string(b))
+		})
+		time.Sleep(time.Second)
+		for _, text := range []string{"", "b", "bb", "bbb"} {
+			write(text)
+		}
+		time.Sleep(time.Second)
+		if want := "[a bbb]"; fmt.Sprint(got) != want {
+			t.Errorf("applied: got %v, want %s", got, want)
+		}
+	})
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -18,9 +18,11 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"fmt"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/oklog/ulid/v2"
 	"google.golang.org/protobuf/proto"
@@ -41,6 +43,8 @@
 	// DefaultKeep is the number of audit entries that the value holds.
 	DefaultKeep = 64
 
+	maxWhoBytes = 128
+
 	firstRetry = 25 * time.Millisecond
 	maxRetry   = 250 * time.Millisecond
 )
@@ -155,7 +159,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	from, err := base(req, rules)
+	from, stated, err := base(req, rules)
 	if err != nil {
 		return Result{}, err
 	}
@@ -164,6 +168,12 @@
 		return notWritten(Result{Version: from + 1}, err), nil
 	}
 	res := Result{Version: from + 1, Latest: cur.GetVersion()}
+	if cur.GetVersion() != from && !stated {
+		res.Outcome = NotAccepted
+		res.Detail = fmt.Sprintf("the store holds version %d, and the file states none; nothing changed. "+
+			"Edit the rules in the store, whose first line is \"version %d\"", cur.GetVersion(), cur.GetVersion())
+		return res, nil
+	}
 	if cur.GetVersion() != from {
 		return p.conflict(ctx, res, cur, from), nil
 	}
@@ -187,21 +197,25 @@
 	return p.commit(ctx, res, next, revision), nil
 }
 
-func base(req Request, rules *parser.Ruleset) (uint64, error) {
-	if req.Who == "" {
-		return 0, &Error{Op: "apply", Kind: KindInvalid, Err: errors.New("no name given: expected who applies the file")}
+// base returns the version that the operator started from, and whether it is stated.
+func base(req Request, rules *parser.Ruleset) (uint64, bool, error) {
+	if req.Who == "" || len(req.Who) > maxWhoBytes || strings.ContainsFunc(req.Who, unprintable) {
+		return 0, false, &Error{Op: "apply", Kind: KindInvalid, Err: fmt.Errorf(
+			"got name %q, expected who applies the file, in 1 to %d bytes of printable text", req.Who, maxWhoBytes)}
 	}
 	line, stated := rules.Base()
 	if req.FromStated && stated && line != req.From {
-		return 0, &Error{Op: "apply", Kind: KindInvalid, Err: fmt.Errorf(
+		return 0, false, &Error{Op: "apply", Kind: KindInvalid, Err: fmt.Errorf(
 			"%s states version %d, but the request starts from version %d: expected one version", req.File, line, req.From)}
 	}
 	if req.FromStated {
-		return req.From, nil
+		return req.From, true, nil
 	}
-	return line, nil
+	return line, stated, nil
 }
 
+func unprintable(r rune) bool { return r == utf8.RuneError || !unicode.IsPrint(r) }
+
 func (p *Publisher) next(cur *encoder.RulesValue, rules *parser.Ruleset, who string) *encoder.RulesValue {
 	now := time.Now()
 	// A ULID of crypto/rand fails only without a source of randomness.
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -190,6 +190,7 @@
 		for _, req := range []Request{
 			{Text: "share leon 0 # x", From: 1, FromStated: true, Who: "w"},
 			{Text: "share leon 2 # x", From: 1, FromStated: true},
+			{Text: "share leon 2 # x", From: 1, FromStated: true, Who: "a\nb"},
 			{Text: "version 1\nshare leon 2 # x", From: 2, FromStated: true, Who: "w"},
 		} {
 			if _, err := p.Apply(t.Context(), req); err == nil {
