Find out what became of an unknown change

Cause: after an apply that ended as unknown an operator had to read the whole log. A watch of a missing key sent index 0, for which Consul does not wait.

Ruled out: concluding from a store that does not hold the version yet; the write may still arrive, so the answer stays unknown.

--- a/cmd/carobbend/rules_status.go
+++ b/cmd/carobbend/rules_status.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -206,6 +207,7 @@
 type rulesStatusCmd struct {
 	storeFlags    `embed:""`
 	instanceFlags `embed:""`
+	Change        string `placeholder:"VERSION/ID" help:"Find out what became of a change whose apply ended as unknown."`
 }
 
 // Run prints the version in the store and on each instance.
@@ -219,6 +221,9 @@
 		return err
 	}
 	defer store.Close()
+	if c.Change != "" {
+		return c.find(ctx, p, publisher.New(store))
+	}
 	fleet, err := c.fleet(c.Store)
 	if err != nil {
 		return err
@@ -241,3 +246,25 @@
 	}
 	return report(p, all, missing(all, v.GetVersion()), v.GetVersion(), 0, nil)
 }
+
+func (c *rulesStatusCmd) find(ctx context.Context, p *printer, pub *publisher.Publisher) error {
+	number, id, _ := strings.Cut(c.Change, "/")
+	version, err := strconv.ParseUint(number, 10, 64)
+	if err != nil || version == 0 || id == "" {
+		return &exitError{exitUsage, fmt.Errorf("--change: got %q, expected VERSION/ID as printed by rules apply", c.Change)}
+	}
+	res, err := pub.Find(ctx, version, id)
+	if err != nil {
+		return &exitError{exitUnknown, err}
+	}
+	p.printf("change %s: %s: %s\n", id, res.Outcome, res.Detail)
+	switch res.Outcome {
+	case publisher.InForce:
+		return p.err
+	case publisher.Unknown:
+		return &exitError{exitUnknown, errors.New("unknown")}
+	default:
+		p.audit(res.Others)
+		return &exitError{exitFailure, errors.New("not accepted")}
+	}
+}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -93,17 +93,32 @@
 // Ready reports whether the instance has rules in force: a committed version, or the defaults after the store
 // confirmed that it holds none.
 func (d *Distributor) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.core.ready
+	return d.Status(time.Now()).Ready
 }
 
 // Confirmed reports whether the store was reached, directly or through peers, recently enough for this instance to
 // be named to callers. It is false after a pause of the process until the next confirmation.
 func (d *Distributor) Confirmed(now time.Time) bool {
+	return d.Status(now).Confirmed
+}
+
+// Status describes a distributor for metrics and for the admin API.
+type Status struct {
+	Version   uint64
+	Ready     bool
+	Confirmed bool
+	// Watching says that this instance watches the store.
+	Watching bool
+	// Age is the time since the last confirmation against the store; at least the limit where there is none.
+	Age time.Duration
+}
+
+// Status returns the state at a time.
+func (d *Distributor) Status(now time.Time) Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.core.confirmed(now)
+	c := d.core
+	return Status{Version: c.version(), Ready: c.ready, Confirmed: c.confirmed(now), Watching: c.view.watching, Age: c.age(now)}
 }
 
 // HandlePeer implements carobbend.PeerHandler; it answers RulesRequest.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -266,20 +266,36 @@
 		}
 	}
 	res.Outcome = Unknown
-	res.Detail = fmt.Sprintf("the write may have taken effect: %v. To find out, run \"carobbend rules log\" when the store answers again "+
-		"and look for change %s: if it is listed, it is in force or was replaced by a later version; if version %d is listed with another "+
-		"change, it was not accepted; if neither is listed, applying the file again from version %d is safe",
-		cause, res.ChangeID, res.Version, res.Version-1)
+	res.Detail = fmt.Sprintf("the write may have taken effect: %v. To find out, run \"carobbend rules status --change %d/%s\" "+
+		"when the store answers again", cause, res.Version, res.ChangeID)
 	return res
 }
 
+// Find says what became of a change whose apply ended as Unknown. The error is of KindStore or KindValue and leaves
+// the outcome open.
+func (p *Publisher) Find(ctx context.Context, version uint64, changeID string) (Result, error) {
+	res := Result{Outcome: Unknown, Version: version, ChangeID: changeID}
+	cur, _, err := p.read(ctx, "find")
+	if err != nil {
+		return res, err
+	}
+	if version == 0 || cur.GetVersion() < version {
+		res.Latest = cur.GetVersion()
+		res.Detail = fmt.Sprintf("the store holds version %d; the write may still arrive. Applying the file again from version %d is safe: "+
+			"only one of the two writes can take effect", cur.GetVersion(), cur.GetVersion())
+		return res, nil
+	}
+	return p.verdict(ctx, res, cur)
+}
+
 func (p *Publisher) lookBack(ctx context.Context, res Result, value []byte, revision uint64) (Result, bool) {
 	cur, rev, err := p.read(ctx, "read back")
 	if err != nil {
 		return res, false
 	}
 	if rev != revision {
-		return p.verdict(ctx, res, cur)
+		done, err := p.verdict(ctx, res, cur)
+		return done, err == nil
 	}
 	swapped, err := p.store.CompareAndSwap(ctx, Key, value, revision)
 	if err == nil && swapped {
@@ -288,19 +304,19 @@
 	return res, false
 }
 
-// verdict decides after the key has moved on: the write is in the audit trail, or it can't take effect anymore.
-func (p *Publisher) verdict(ctx context.Context, res Result, cur *encoder.RulesValue) (Result, bool) {
+// verdict decides after the version was taken: the change is in the audit trail, or it can't take effect anymore.
+func (p *Publisher) verdict(ctx context.Context, res Result, cur *encoder.RulesValue) (Result, error) {
 	res.Latest = cur.GetVersion()
 	changes, err := p.since(ctx, cur, res.Version-1)
 	if err != nil {
-		return res, false
+		return res, err
 	}
 	for _, c := range changes {
 		if c.GetVersion() == res.Version && c.GetChangeId() == res.ChangeID {
-			return committed(res), true
+			return committed(res), nil
 		}
 	}
-	return p.conflict(ctx, res, cur, res.Version-1), true
+	return p.conflict(ctx, res, cur, res.Version-1), nil
 }
 
 func notWritten(res Result, err error) Result {
--- a/storeclient/storeclient.go
+++ b/storeclient/storeclient.go
@@ -24,6 +24,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +39,8 @@
 	// MaxValueBytes is the greatest value that the store accepts.
 	MaxValueBytes = 1 << 20
 
-	kvPrefix = "/v1/kv/"
+	kvPrefix    = "/v1/kv/"
+	indexHeader = "X-Consul-Index"
 	// maxReplyBytes holds a value of MaxValueBytes in base64 with its envelope.
 	maxReplyBytes = 2 << 20
 	maxErrorBytes = 256
@@ -71,6 +73,8 @@
 // Client implements carobbend.Store. It is safe for concurrent use.
 type Client struct {
 	t *transport
+	// absent holds the index at which a key was last seen missing. Consul doesn't wait for index 0.
+	absent sync.Map
 }
 
 // New returns a client of the store at a base address like http://127.0.0.1:8500. It opens no connection.
@@ -101,7 +105,11 @@
 	if c.t.gate.failing() {
 		return c.read(ctx, opWatch, key, nil, 0, &c.t.count.watches)
 	}
-	q := url.Values{"index": {strconv.FormatUint(revision, 10)}, "wait": {wait.String()}}
+	index := strconv.FormatUint(revision, 10)
+	if last, ok := c.absent.Load(key); ok && revision == 0 {
+		index = fmt.Sprint(last)
+	}
+	q := url.Values{"index": {index}, "wait": {wait.String()}}
 	// Consul adds up to a sixteenth of the wait at random.
 	return c.read(ctx, opWatch, key, q, wait+wait/16, &c.t.count.watches)
 }
@@ -112,6 +120,9 @@
 		return carobbend.Entry{}, err
 	}
 	if rep.status == http.StatusNotFound {
+		if rep.index != "" {
+			c.absent.Store(key, rep.index)
+		}
 		return carobbend.Entry{Key: key}, nil
 	}
 	var entries []kvEntry
--- a/storeclient/transport.go
+++ b/storeclient/transport.go
@@ -112,7 +112,9 @@
 
 type reply struct {
 	status int
-	body   []byte
+	// index is the X-Consul-Index of the reply.
+	index string
+	body  []byte
 }
 
 func (t *transport) call(ctx context.Context, q request) (reply, error) {
@@ -205,7 +207,7 @@
 	if kind, err := statusError(q.method, res.StatusCode, b); err != nil {
 		return reply{status: res.StatusCode}, kind, err
 	}
-	return reply{status: res.StatusCode, body: b}, "", nil
+	return reply{status: res.StatusCode, index: res.Header.Get(indexHeader), body: b}, "", nil
 }
 
 // statusError classifies a reply. A refusal by 4xx or 503 happens before a write takes effect; any other status of a
