Add claims and the dispatch of operations

Cause: operations under at-most-once need a record in the store of who may run them, and something that runs them by it.

Ruled out: deleting a released claim. A late forwarded claim of the same owner would take the key again and block it; the record of the release refuses it. Waiting for the result to be recorded before the answer is returned: a crash before the record leaves the same window either way.

--- /dev/null
+++ b/claimer/claimer.go
@@ -0,0 +1,185 @@
+package claimer
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/encoder"
+)
+
+const (
+	// DefaultPartitions is the number of values in the store that hold claims.
+	DefaultPartitions = 256
+	// DefaultStoreTimeout bounds one call to the store.
+	DefaultStoreTimeout = 2 * time.Second
+	// DefaultPeerTimeout bounds the wait for the preferred instance before this instance commits by itself.
+	DefaultPeerTimeout = 500 * time.Millisecond
+	// DefaultMaxWait bounds a request whose context has no earlier deadline.
+	DefaultMaxWait = 10 * time.Second
+
+	partitionPrefix = "carobbend/claims/"
+)
+
+// Claimer commits claims. It implements carobbend.PeerHandler.
+type Claimer struct {
+	store        carobbend.Store
+	peers        carobbend.Peers
+	partitions   []*partition
+	bounds       Bounds
+	storeTimeout time.Duration
+	peerTimeout  time.Duration
+	maxWait      time.Duration
+	counters     counters
+}
+
+type counters struct {
+	reads, writes, conflicts, lost, asked, fallbacks atomic.Int64
+}
+
+// Counts holds the numbers of events since the start.
+type Counts struct {
+	// Reads and Writes are calls to the store, failed ones included.
+	Reads, Writes int64
+	// Conflicts are swaps lost to another writer.
+	Conflicts int64
+	// Lost are swaps whose result stayed open.
+	Lost int64
+	// Asked are requests sent to the preferred instance; Fallbacks are those that this instance then did itself.
+	Asked, Fallbacks int64
+}
+
+// Option configures a Claimer.
+type Option func(*options)
+
+type options struct {
+	partitions   int
+	bounds       Bounds
+	storeTimeout time.Duration
+	peerTimeout  time.Duration
+	maxWait      time.Duration
+}
+
+// WithPartitions sets the number of partitions; all instances must use the same number, always.
+func WithPartitions(n int) Option { return func(o *options) { o.partitions = max(n, 1) } }
+
+// WithBounds sets the bounds of each partition.
+func WithBounds(b Bounds) Option { return func(o *options) { o.bounds = b } }
+
+// WithStoreTimeout bounds one call to the store.
+func WithStoreTimeout(d time.Duration) Option { return func(o *options) { o.storeTimeout = d } }
+
+// WithPeerTimeout bounds the wait for the preferred instance.
+func WithPeerTimeout(d time.Duration) Option { return func(o *options) { o.peerTimeout = d } }
+
+// New returns a claimer; nil peers mean that this instance is alone.
+func New(store carobbend.Store, peers carobbend.Peers, opts ...Option) *Claimer {
+	o := options{
+		partitions: DefaultPartitions, bounds: DefaultBounds, storeTimeout: DefaultStoreTimeout,
+		peerTimeout: DefaultPeerTimeout, maxWait: DefaultMaxWait,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	c := &Claimer{
+		store: store, peers: peers, bounds: o.bounds, storeTimeout: o.storeTimeout,
+		peerTimeout: o.peerTimeout, maxWait: o.maxWait,
+	}
+	c.partitions = make([]*partition, o.partitions)
+	for i := range c.partitions {
+		c.partitions[i] = &partition{c: c, key: fmt.Sprintf("%s%03d", partitionPrefix, i)}
+	}
+	return c
+}
+
+// NewOwner returns an owner id that is unique over all instances and restarts.
+func NewOwner() string { return rand.Text() }
+
+// Claim asks for the right to run the operation. Only StatusOwned grants it.
+func (c *Claimer) Claim(ctx context.Context, key string, fingerprint []byte, owner string) Result {
+	return c.do(ctx, Request{Action: ActionClaim, Key: key, Fingerprint: fingerprint, Owner: owner})
+}
+
+// Finish stores the answer of the owner's operation for replays; StatusFinished says that it is committed.
+func (c *Claimer) Finish(ctx context.Context, key string, fingerprint []byte, owner string, answer []byte) Result {
+	return c.do(ctx, Request{
+		Action: ActionFinish, Key: key, Fingerprint: fingerprint, Owner: owner, Answer: answer,
+	})
+}
+
+// Release gives the key back; StatusReleased says that it is committed. The owner must never have written to an
+// upstream and must not write after this call.
+func (c *Claimer) Release(ctx context.Context, key string, fingerprint []byte, owner string) Result {
+	return c.do(ctx, Request{Action: ActionRelease, Key: key, Fingerprint: fingerprint, Owner: owner})
+}
+
+// Lookup reads what the store records of a key. It returns StatusUnknown where the store can't be read.
+func (c *Claimer) Lookup(ctx context.Context, key string) Result {
+	e, err := c.get(ctx, c.partition(key).key)
+	if err != nil {
+		return Result{Status: StatusUnknown, Detail: DetailStoreDown}
+	}
+	p := &encoder.ClaimPartition{}
+	if err := proto.Unmarshal(e.Value, p); err != nil {
+		return Result{Status: StatusUnknown, Detail: DetailBadValue}
+	}
+	return Find(p, key)
+}
+
+// Counts returns the numbers of events so far.
+func (c *Claimer) Counts() Counts {
+	return Counts{
+		Reads: c.counters.reads.Load(), Writes: c.counters.writes.Load(),
+		Conflicts: c.counters.conflicts.Load(), Lost: c.counters.lost.Load(),
+		Asked: c.counters.asked.Load(), Fallbacks: c.counters.fallbacks.Load(),
+	}
+}
+
+func (c *Claimer) partition(key string) *partition {
+	return c.partitions[xxhash.Sum64String(key)%uint64(len(c.partitions))]
+}
+
+func (c *Claimer) do(ctx context.Context, req Request) Result {
+	ctx, cancel := context.WithTimeout(ctx, c.maxWait)
+	defer cancel()
+	if ctx.Err() != nil {
+		return Result{Status: StatusRefused, Detail: DetailWithdrawn}
+	}
+	p := c.partition(req.Key)
+	r, asked := c.ask(ctx, p.key, req)
+	if asked && r.Status != StatusUnknown && !retryHere(r) {
+		return r
+	}
+	own := p.submit(ctx, req)
+	if asked && r.Status == StatusUnknown && own.Status == StatusRefused {
+		// The forwarded request may still be committed by the peer.
+		own.Status = StatusUnknown
+	}
+	return own
+}
+
+// retryHere reports whether this instance should try after the preferred one refused: its path to the store may
+// work. A limited store isn't asked again.
+func retryHere(r Result) bool {
+	return r.Status == StatusRefused && (r.Detail == DetailStoreDown || r.Detail == DetailWithdrawn)
+}
+
+func (c *Claimer) get(ctx context.Context, key string) (carobbend.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.storeTimeout)
+	defer cancel()
+	c.counters.reads.Add(1)
+	return c.store.Get(ctx, key)
+}
+
+func (c *Claimer) swap(ctx context.Context, key string, value []byte, revision uint64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.storeTimeout)
+	defer cancel()
+	c.counters.writes.Add(1)
+	return c.store.CompareAndSwap(ctx, key, value, revision)
+}
--- /dev/null
+++ b/claimer/core.go
@@ -0,0 +1,294 @@
+package claimer
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+
+	"carobbend.example/carobbend/encoder"
+)
+
+// Action is the change that a request asks for.
+type Action int
+
+const (
+	// ActionClaim creates the claim if the key is free.
+	ActionClaim Action = iota + 1
+	// ActionFinish stores the answer of the owner's operation.
+	ActionFinish
+	// ActionRelease gives the key back; only an owner that never wrote to an upstream may ask for it.
+	ActionRelease
+)
+
+// Request asks for one change of one claim.
+type Request struct {
+	Action Action
+	// Key is the operation key in canonical ULID form.
+	Key string
+	// Fingerprint identifies the content of the operation.
+	Fingerprint []byte
+	// Owner is unique for each attempt to run the operation.
+	Owner string
+	// Answer is stored by ActionFinish; at most MaxAnswerBytes are kept, longer answers are dropped.
+	Answer []byte
+}
+
+// MaxAnswerBytes bounds the stored answer of one operation.
+const MaxAnswerBytes = 1 << 10
+
+// Status is the result of a request.
+type Status string
+
+const (
+	// StatusOwned says that the claim is committed under the asker's owner id and isn't finished.
+	StatusOwned Status = "owned"
+	// StatusTaken says that another owner holds the claim.
+	StatusTaken Status = "taken"
+	// StatusFinished says that the operation ran and its result is committed.
+	StatusFinished Status = "finished"
+	// StatusReleased says that the key was given back by its last owner, which never ran the operation.
+	StatusReleased Status = "released"
+	// StatusAbsent says that the partition holds no record of the key; only Lookup returns it.
+	StatusAbsent Status = "absent"
+	// StatusConflict says that the key was used with another fingerprint.
+	StatusConflict Status = "conflict"
+	// StatusExpired says that the key is at or below the partition's floor and has no record.
+	StatusExpired Status = "expired"
+	// StatusRefused says that nothing was committed for this request and nothing will be.
+	StatusRefused Status = "refused"
+	// StatusUnknown says that the change may have been committed or may still be.
+	StatusUnknown Status = "unknown"
+)
+
+// Result states what became of a request.
+type Result struct {
+	Status Status
+	// Answer is the stored answer of a finished operation; nil where it was too large to be kept.
+	Answer []byte
+	// Detail explains the status in a few words.
+	Detail string
+}
+
+// Details of refused requests.
+const (
+	DetailStoreDown    = "store unavailable"
+	DetailStoreLimited = "store rate limit reached"
+	DetailFull         = "claim partition full of later keys"
+	DetailWithdrawn    = "withdrawn before it was committed"
+	DetailNoClaim      = "the owner holds no claim"
+	DetailLate         = "the owner released this claim"
+	DetailBadValue     = "the partition's value can't be decoded"
+)
+
+// Bounds limits a partition. Beyond them the smallest keys are dropped and the floor rises.
+type Bounds struct {
+	// Claims is the greatest number of claims.
+	Claims int
+	// Bytes is the greatest size of all claims in bytes.
+	Bytes int
+}
+
+// DefaultBounds keeps a partition's value far below the store's limit of 1 MB, since each swap writes it whole.
+var DefaultBounds = Bounds{Claims: 1024, Bytes: 128 << 10}
+
+// claimOverhead is the size in bytes of a claim beyond its fields' contents, rounded up.
+const claimOverhead = 16
+
+// Apply applies a batch in order to a partition, which it doesn't modify. It returns the changed partition, or p
+// itself where nothing changed, and one result for each request. The results hold once the returned partition is
+// committed.
+func Apply(p *encoder.ClaimPartition, batch []Request, b Bounds) (*encoder.ClaimPartition, []Result) {
+	s := state{floor: p.GetFloor(), claims: p.GetClaims(), bounds: b}
+	results := make([]Result, len(batch))
+	for i, req := range batch {
+		switch req.Action {
+		case ActionClaim:
+			results[i] = s.claim(req)
+		case ActionFinish:
+			results[i] = s.finish(req)
+		case ActionRelease:
+			results[i] = s.release(req)
+		default:
+			results[i] = Result{Status: StatusRefused, Detail: "unknown action"}
+		}
+	}
+	if !s.changed {
+		return p, results
+	}
+	return &encoder.ClaimPartition{Floor: s.floor, Claims: s.claims}, results
+}
+
+// Find returns what a partition records of a key.
+func Find(p *encoder.ClaimPartition, key string) Result {
+	s := state{floor: p.GetFloor(), claims: p.GetClaims()}
+	i, ok := s.find(key)
+	switch {
+	case !ok && key <= s.floor:
+		return Result{Status: StatusExpired}
+	case !ok:
+		return Result{Status: StatusAbsent}
+	case released(s.claims[i]):
+		return Result{Status: StatusReleased}
+	case s.claims[i].GetFinished():
+		return Result{Status: StatusFinished, Answer: s.claims[i].GetResult()}
+	default:
+		return Result{Status: StatusTaken}
+	}
+}
+
+// state is a partition while a batch is applied. Claims are replaced and never modified; the slice is copied
+// before its first change.
+type state struct {
+	floor   string
+	claims  []*encoder.Claim
+	bounds  Bounds
+	size    int
+	changed bool
+}
+
+// released reports whether the claim was given back. Such a claim has no owner, and its result names the owner
+// that gave it back, so that a late request of this owner can't take it again.
+func released(c *encoder.Claim) bool { return c.GetOwner() == "" }
+
+func (s *state) find(key string) (int, bool) {
+	return slices.BinarySearchFunc(s.claims, key, func(c *encoder.Claim, key string) int {
+		return strings.Compare(c.GetKey(), key)
+	})
+}
+
+func (s *state) claim(req Request) Result {
+	i, ok := s.find(req.Key)
+	if !ok {
+		if req.Key <= s.floor {
+			return Result{Status: StatusExpired}
+		}
+		return s.insert(&encoder.Claim{Key: req.Key, Fingerprint: req.Fingerprint, Owner: req.Owner}, StatusOwned)
+	}
+	c := s.claims[i]
+	if !bytes.Equal(c.GetFingerprint(), req.Fingerprint) {
+		return Result{Status: StatusConflict}
+	}
+	switch {
+	case c.GetFinished():
+		return Result{Status: StatusFinished, Answer: c.GetResult()}
+	case c.GetOwner() == req.Owner:
+		return Result{Status: StatusOwned}
+	case !released(c):
+		return Result{Status: StatusTaken}
+	case string(c.GetResult()) == req.Owner:
+		return Result{Status: StatusRefused, Detail: DetailLate}
+	}
+	s.replace(i, &encoder.Claim{Key: req.Key, Fingerprint: req.Fingerprint, Owner: req.Owner})
+	return Result{Status: StatusOwned}
+}
+
+func (s *state) finish(req Request) Result {
+	i, ok := s.find(req.Key)
+	if !ok && req.Key <= s.floor {
+		return Result{Status: StatusExpired}
+	}
+	if !ok {
+		return Result{Status: StatusRefused, Detail: DetailNoClaim}
+	}
+	c := s.claims[i]
+	if c.GetOwner() != req.Owner {
+		return Result{Status: StatusTaken}
+	}
+	if !c.GetFinished() {
+		n := &encoder.Claim{Key: c.GetKey(), Fingerprint: c.GetFingerprint(), Owner: c.GetOwner(), Finished: true}
+		if len(req.Answer) <= MaxAnswerBytes {
+			n.Result = req.Answer
+		}
+		s.replace(i, n)
+		c = n
+		s.shrink()
+	}
+	return Result{Status: StatusFinished, Answer: c.GetResult()}
+}
+
+func (s *state) release(req Request) Result {
+	i, ok := s.find(req.Key)
+	if !ok && req.Key <= s.floor {
+		return Result{Status: StatusExpired}
+	}
+	// A released record is kept even where there was no claim: the owner's claim may still be on its way.
+	n := &encoder.Claim{Key: req.Key, Fingerprint: req.Fingerprint, Result: []byte(req.Owner)}
+	if !ok {
+		return s.insert(n, StatusReleased)
+	}
+	c := s.claims[i]
+	switch {
+	case c.GetFinished():
+		return Result{Status: StatusFinished, Answer: c.GetResult()}
+	case c.GetOwner() == req.Owner:
+		s.replace(i, n)
+		return Result{Status: StatusReleased}
+	case released(c):
+		return Result{Status: StatusReleased}
+	default:
+		return Result{Status: StatusTaken}
+	}
+}
+
+// insert adds a claim and drops the smallest keys beyond the bounds. A claim that would itself be dropped is
+// refused and changes nothing, so that it can't raise the floor.
+func (s *state) insert(c *encoder.Claim, status Status) Result {
+	s.own()
+	i, _ := s.find(c.GetKey())
+	if drop := s.excess(claimSize(c), 1); drop > i {
+		return Result{Status: StatusRefused, Detail: DetailFull}
+	}
+	s.claims = slices.Insert(s.claims, i, c)
+	s.size += claimSize(c)
+	s.changed = true
+	s.shrink()
+	return Result{Status: status}
+}
+
+func (s *state) replace(i int, c *encoder.Claim) {
+	s.own()
+	s.size += claimSize(c) - claimSize(s.claims[i])
+	s.claims[i] = c
+	s.changed = true
+}
+
+// own copies the claims before the first change.
+func (s *state) own() {
+	if s.size > 0 {
+		return
+	}
+	s.claims = append(make([]*encoder.Claim, 0, len(s.claims)+8), s.claims...)
+	for _, c := range s.claims {
+		s.size += claimSize(c)
+	}
+}
+
+// excess returns how many of the smallest claims don't fit if size bytes in n claims are added.
+func (s *state) excess(size, n int) int {
+	size += s.size
+	drop := 0
+	for drop < len(s.claims) && (len(s.claims)+n-drop > s.bounds.Claims || size > s.bounds.Bytes) {
+		size -= claimSize(s.claims[drop])
+		drop++
+	}
+	return drop
+}
+
+// shrink drops the smallest keys beyond the bounds and raises the floor to the greatest of them. Claims that
+// aren't finished follow the same rule: below the floor nobody else can claim the key.
+func (s *state) shrink() {
+	drop := s.excess(0, 0)
+	if drop == 0 {
+		return
+	}
+	for _, c := range s.claims[:drop] {
+		s.size -= claimSize(c)
+	}
+	s.floor = max(s.floor, s.claims[drop-1].GetKey())
+	s.claims = s.claims[drop:]
+	s.changed = true
+}
+
+func claimSize(c *encoder.Claim) int {
+	return claimOverhead + len(c.GetKey()) + len(c.GetFingerprint()) + len(c.GetOwner()) + len(c.GetResult())
+}
--- /dev/null
+++ b/claimer/peer.go
@@ -0,0 +1,119 @@
+package claimer
+
+import (
+	"context"
+	"time"
+
+	"carobbend.example/carobbend/encoder"
+)
+
+// ask forwards a request to the partition's preferred instance. It returns false where the request wasn't
+// forwarded, and StatusUnknown where the peer may have handled it.
+func (c *Claimer) ask(ctx context.Context, partition string, req Request) (Result, bool) {
+	name, self := c.preferred(partition)
+	if self {
+		return Result{}, false
+	}
+	timeout := c.peerTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		// Half of the time stays for committing without the peer.
+		timeout = min(timeout, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.counters.asked.Add(1)
+	reply, err := c.peers.Ask(ctx, name, &encoder.Frame{Body: &encoder.Frame_ClaimRequest{ClaimRequest: toWire(req)}})
+	r := Result{Status: StatusUnknown}
+	if err == nil {
+		r = fromReply(req.Action, reply.GetClaimReply())
+	}
+	if r.Status == StatusUnknown || retryHere(r) {
+		c.counters.fallbacks.Add(1)
+	}
+	return r, true
+}
+
+// preferred returns the instance that commits for the partition and whether it is this one.
+func (c *Claimer) preferred(partition string) (string, bool) {
+	if c.peers == nil {
+		return "", true
+	}
+	p := c.peers.Preferred(partition, 1)
+	if len(p) == 0 {
+		return "", true
+	}
+	return p[0].Name, p[0].Name == c.peers.Self().Name
+}
+
+// HandlePeer implements carobbend.PeerHandler. A request is always committed here, even if this instance's view
+// prefers another one, so that differing views can't forward it in a circle.
+func (c *Claimer) HandlePeer(ctx context.Context, _ string, req *encoder.Frame) *encoder.Frame {
+	w := req.GetClaimRequest()
+	if w == nil {
+		return nil
+	}
+	r := Result{Status: StatusRefused, Detail: "the request is incomplete"}
+	if q, ok := fromWire(w); ok {
+		ctx, cancel := context.WithTimeout(ctx, c.peerTimeout)
+		defer cancel()
+		r = c.partition(q.Key).submit(ctx, q)
+	}
+	return &encoder.Frame{Body: &encoder.Frame_ClaimReply{ClaimReply: &encoder.ClaimReply{
+		Status: statusToWire(r.Status), Result: r.Answer, Detail: r.Detail,
+	}}}
+}
+
+func toWire(req Request) *encoder.ClaimRequest {
+	return &encoder.ClaimRequest{
+		Key: req.Key, Fingerprint: req.Fingerprint, Owner: req.Owner, Result: req.Answer,
+		Action: actions[req.Action],
+	}
+}
+
+var actions = map[Action]encoder.ClaimAction{
+	ActionClaim:   encoder.ClaimAction_CLAIM_ACTION_CLAIM,
+	ActionFinish:  encoder.ClaimAction_CLAIM_ACTION_FINISH,
+	ActionRelease: encoder.ClaimAction_CLAIM_ACTION_RELEASE,
+}
+
+func fromWire(w *encoder.ClaimRequest) (Request, bool) {
+	req := Request{Key: w.GetKey(), Fingerprint: w.GetFingerprint(), Owner: w.GetOwner(), Answer: w.GetResult()}
+	for a, wire := range actions {
+		if wire == w.GetAction() {
+			req.Action = a
+		}
+	}
+	return req, req.Action != 0 && req.Key != "" && req.Owner != ""
+}
+
+var statuses = map[Status]encoder.ClaimStatus{
+	StatusOwned:    encoder.ClaimStatus_CLAIM_STATUS_OWNED,
+	StatusTaken:    encoder.ClaimStatus_CLAIM_STATUS_TAKEN,
+	StatusFinished: encoder.ClaimStatus_CLAIM_STATUS_FINISHED,
+	StatusConflict: encoder.ClaimStatus_CLAIM_STATUS_CONFLICT,
+	StatusExpired:  encoder.ClaimStatus_CLAIM_STATUS_EXPIRED,
+	StatusRefused:  encoder.ClaimStatus_CLAIM_STATUS_REFUSED,
+	StatusUnknown:  encoder.ClaimStatus_CLAIM_STATUS_UNKNOWN,
+}
+
+// statusToWire maps StatusReleased to owned: the wire has no status of its own for it, and only the owner's
+// release is answered with it.
+func statusToWire(s Status) encoder.ClaimStatus {
+	if s == StatusReleased {
+		return encoder.ClaimStatus_CLAIM_STATUS_OWNED
+	}
+	return statuses[s]
+}
+
+func fromReply(a Action, reply *encoder.ClaimReply) Result {
+	r := Result{Status: StatusUnknown, Answer: reply.GetResult(), Detail: reply.GetDetail()}
+	for s, wire := range statuses {
+		if wire == reply.GetStatus() {
+			r.Status = s
+		}
+	}
+	if a == ActionRelease && r.Status == StatusOwned {
+		r.Status = StatusReleased
+	}
+	return r
+}
--- /dev/null
+++ b/dispatcher/attempt.go
@@ -0,0 +1,135 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/asserter"
+	"carobbend.example/carobbend/claimer"
+)
+
+// attempt is one request for an operation that runs at most once.
+type attempt struct {
+	d           *Dispatcher
+	op          carobbend.Operation
+	fingerprint []byte
+	owner       string
+	// written says that an upstream may have received a byte.
+	written bool
+}
+
+// run claims the key, waits while another request holds it, and dispatches once it is owned.
+func (a *attempt) run(ctx context.Context) carobbend.OperationResult {
+	waited := false
+	for wait := pollBase; ; wait = min(2*wait, pollMax) {
+		r := a.d.cfg.Claims.Claim(ctx, a.op.Key, a.fingerprint, a.owner)
+		switch r.Status {
+		case claimer.StatusOwned:
+			return a.dispatch(ctx)
+		case claimer.StatusFinished:
+			return replay(r)
+		case claimer.StatusConflict:
+			out := a.notRun("the key was used before with another request")
+			out.Conflict = true
+			return out
+		case claimer.StatusExpired:
+			return unknown(DetailExpired)
+		case claimer.StatusTaken:
+			waited = true
+		case claimer.StatusRefused:
+			if waited {
+				return unknown(DetailInProgress)
+			}
+			return a.notRun("the claim was refused, nothing was sent for this request: " + r.Detail)
+		default:
+			// The claim may be committed. This attempt gives it up, so that a later request can run.
+			a.record(ctx, a.release)
+			if waited {
+				return unknown(DetailInProgress)
+			}
+			return a.notRun("the claim wasn't confirmed, nothing was sent for this request: " + r.Detail)
+		}
+		if !pause(ctx, wait/2+rand.N(wait)) {
+			return unknown(DetailInProgress)
+		}
+	}
+}
+
+// dispatch sends the operation to one upstream. Another upstream is tried only where a failure guarantees that
+// nothing ran. The operation goes on if the caller disconnects, so that its result is recorded.
+func (a *attempt) dispatch(ctx context.Context) carobbend.OperationResult {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.op.Deadline)
+	defer cancel()
+	ids := a.d.cfg.Upstreams[a.op.Name]
+	avoid := make([]carobbend.UpstreamID, 0, len(ids))
+	detail := "no upstream is available"
+	for range ids {
+		id, ok := a.d.cfg.Balancer.Pick(time.Now(), ids, avoid)
+		if !ok || contains(avoid, id) {
+			break
+		}
+		// The process may have been paused since the claim. The claim alone doesn't permit a late write.
+		if !time.Now().Before(a.op.Deadline) {
+			detail = "the deadline passed before the operation was sent"
+			break
+		}
+		asserter.Check(a.d.sent.mark(a.op.Key, a.owner), asserter.Dispatch, "key", a.op.Key, "owner", a.owner)
+		a.written = true
+		body, err := a.d.send(ctx, id, a.op)
+		if err == nil {
+			a.record(ctx, func(ctx context.Context) bool {
+				r := a.d.cfg.Claims.Finish(ctx, a.op.Key, a.fingerprint, a.owner, body)
+				return r.Status == claimer.StatusFinished || r.Status == claimer.StatusExpired
+			})
+			return carobbend.OperationResult{Outcome: carobbend.OutcomeDone, Body: body}
+		}
+		kind := carobbend.KindOf(err)
+		if !neverRan(kind) {
+			return unknown(fmt.Sprintf("the operation was sent and may have run: %v", err))
+		}
+		a.written = false
+		a.d.sent.clear(a.op.Key, a.owner)
+		avoid, detail = append(avoid, id), err.Error()
+	}
+	a.record(ctx, a.release)
+	return a.notRun(detail)
+}
+
+func (a *attempt) release(ctx context.Context) bool {
+	r := a.d.cfg.Claims.Release(ctx, a.op.Key, a.fingerprint, a.owner)
+	return r.Status == claimer.StatusReleased || r.Status == claimer.StatusExpired || r.Status == claimer.StatusTaken
+}
+
+func (a *attempt) notRun(detail string) carobbend.OperationResult {
+	if !asserter.Check(!a.written, asserter.NotRun, "key", a.op.Key, "owner", a.owner) {
+		return unknown(detail)
+	}
+	return notRun(detail)
+}
+
+// record commits the end of the attempt in the background, since the caller's answer doesn't depend on it. It
+// retries until the store confirms or the time is up.
+func (a *attempt) record(ctx context.Context, commit func(context.Context) bool) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.d.cfg.RecordTimeout)
+	a.d.recording.Go(func() {
+		defer cancel()
+		for wait := pollBase; !commit(ctx); wait = min(2*wait, pollMax) {
+			if !pause(ctx, wait/2+rand.N(wait)) {
+				a.d.counts.unrecorded.Add(1)
+				return
+			}
+		}
+	})
+}
+
+func contains(ids []carobbend.UpstreamID, id carobbend.UpstreamID) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
