--- /dev/null
+++ b/sender/sender_test.go
@@ -0,0 +1,236 @@
+package sender
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/emulator"
+)
+
+func newOp() carobbend.Operation {
+	return carobbend.Operation{
+		Key: ulid.Make().String(), Name: "book-crew", Body: json.RawMessage(`{"statue":7}`),
+		Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+// cutter executes operations and, while cut is set, closes the connection instead of answering.
+type cutter struct {
+	up   *emulator.Upstream
+	cut  atomic.Bool
+	seen atomic.Int64
+}
+
+func newCutter(t *testing.T) (*cutter, *httptest.Server) {
+	c := &cutter{up: emulator.NewUpstream(emulator.UpstreamConfig{
+		ID: "u", ServiceTime: emulator.ServiceTime{Median: time.Microsecond},
+	})}
+	srv := httptest.NewServer(c)
+	t.Cleanup(srv.Close)
+	return c, srv
+}
+
+func (c *cutter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.seen.Add(1)
+	if !c.cut.Load() {
+		c.up.ServeHTTP(w, r)
+		return
+	}
+	c.up.ServeHTTP(httptest.NewRecorder(), r)
+	hijacked, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = hijacked.Close()
+	}
+}
+
+func address(srv *httptest.Server) string { return strings.TrimPrefix(srv.URL, "http://") }
+
+// Guards against the transport's own resend: the upstream reads the request on a reused connection, executes it
+// and cuts the connection.
+func TestCutReusedConnectionIsNotResent(t *testing.T) {
+	c, srv := newCutter(t)
+	s := New(map[carobbend.UpstreamID]string{"u": address(srv)}, WithMaxConns(1))
+	defer s.Close()
+	if _, err := s.SendOperation(t.Context(), "u", newOp()); err != nil {
+		t.Fatal(err)
+	}
+	c.cut.Store(true)
+	op := newOp()
+	_, err := s.SendOperation(t.Context(), "u", op)
+	if got, want := carobbend.KindOf(err), carobbend.FailureBroken; got != want {
+		t.Errorf("failure: got %q, want %q", got, want)
+	}
+	if got := c.up.Executions()[op.Key]; got != 1 {
+		t.Errorf("executions: got %d, want 1", got)
+	}
+}
+
+// Shows that the fault of the test above does cause a second execution where the request is replayable.
+func TestCutReusedConnectionIsResentWithoutDefence(t *testing.T) {
+	c, srv := newCutter(t)
+	s := New(map[carobbend.UpstreamID]string{"u": address(srv)}, WithMaxConns(1))
+	defer s.Close()
+	if _, err := s.SendOperation(t.Context(), "u", newOp()); err != nil {
+		t.Fatal(err)
+	}
+	c.cut.Store(true)
+	op := newOp()
+	req, err := newRequest(t.Context(), address(srv), op, &guard{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Idempotency-Key", op.Key)
+	req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(op.Body)), nil }
+	if resp, err := s.transport.RoundTrip(req); err == nil {
+		_ = resp.Body.Close()
+	}
+	if got := c.up.Executions()[op.Key]; got < 2 {
+		t.Errorf("executions: got %d, want 2 or more", got)
+	}
+}
+
+// Guards against a request that the transport would replay.
+func TestRequestIsNotReplayable(t *testing.T) {
+	for _, body := range []string{"", `{"statue":7}`} {
+		op := newOp()
+		op.Body = json.RawMessage(body)
+		req, err := newRequest(t.Context(), "127.0.0.1:1", op, &guard{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if req.GetBody != nil || req.ContentLength == 0 || req.Body == http.NoBody {
+			t.Errorf("body %q: got a request that can be sent again", body)
+		}
+		for _, h := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+			if req.Header.Values(h) != nil {
+				t.Errorf("body %q: got header %s, want none", body, h)
+			}
+		}
+	}
+}
+
+// Guards against wrong claims on what may have run.
+func TestFailureKinds(t *testing.T) {
+	reply := func(status int, header ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+			for i := 0; i+1 < len(header); i += 2 {
+				w.Header().Set(header[i], header[i+1])
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, `{"ok":true}`)
+		}
+	}
+	for _, tt := range []struct {
+		name    string
+		handler http.HandlerFunc
+		want    carobbend.FailureKind
+	}{
+		{"answer", reply(200), carobbend.FailureNone},
+		{"shed", reply(503, "Retry-After", "1"), carobbend.FailureShed},
+		{"leaving", reply(503, "Retry-After", "1", headerUpstreamState, stateLeaving), carobbend.FailureLeaving},
+		{"503 of something else", reply(503), carobbend.FailureBroken},
+		{"redirect", reply(307, "Location", "/v1/operations/book-crew"), carobbend.FailureBroken},
+		{"other request", reply(200, headerRequestID, "x"), carobbend.FailureIdentity},
+		{"shed for another request", reply(503, "Retry-After", "1", headerRequestID, "x"), carobbend.FailureIdentity},
+		{"truncated", reply(200, "Content-Length", "500"), carobbend.FailureBroken},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			srv := httptest.NewServer(tt.handler)
+			defer srv.Close()
+			s := New(map[carobbend.UpstreamID]string{"u": address(srv)})
+			defer s.Close()
+			_, err := s.SendOperation(t.Context(), "u", newOp())
+			if got := carobbend.KindOf(err); got != tt.want {
+				t.Errorf("failure: got %q (%v), want %q", got, err, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against not-sent being reported, or missed, around the first byte.
+func TestNotSent(t *testing.T) {
+	c, srv := newCutter(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	s := New(map[carobbend.UpstreamID]string{"u": address(srv), "closed": closed.Addr().String()}, WithMaxConns(1))
+	defer s.Close()
+	late := newOp()
+	late.Deadline = time.Now().Add(-time.Second)
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, tt := range []struct {
+		name string
+		ctx  context.Context
+		id   carobbend.UpstreamID
+		op   carobbend.Operation
+	}{
+		{"no address", t.Context(), "other", newOp()},
+		{"connection refused", t.Context(), "closed", newOp()},
+		{"late", t.Context(), "u", late},
+		{"canceled", canceled, "u", newOp()},
+	} {
+		_, err := s.SendOperation(tt.ctx, tt.id, tt.op)
+		if got, want := carobbend.KindOf(err), carobbend.FailureNotSent; got != want {
+			t.Errorf("%s: got %q (%v), want %q", tt.name, got, err, want)
+		}
+	}
+	if got := c.seen.Load(); got != 0 {
+		t.Errorf("requests at the upstream: got %d, want 0", got)
+	}
+}
+
+// recorder is a connection that keeps what was written.
+type recorder struct {
+	net.Conn
+	n int
+}
+
+func (r *recorder) Write(b []byte) (int, error) {
+	r.n += len(b)
+	return len(b), nil
+}
+
+// Guards against a write by a process that was paused after all checks above the transport, and against a write
+// after the sender reported that nothing was sent.
+func TestConnectionRefusesFirstByte(t *testing.T) {
+	stopped := &guard{}
+	if stopped.stop() {
+		t.Error("stop before the first byte: got written, want not")
+	}
+	for _, tt := range []struct {
+		name string
+		g    *guard
+		want int
+	}{
+		{"in time", &guard{deadline: time.Now().Add(time.Minute)}, 5},
+		{"late", &guard{deadline: time.Now().Add(-time.Minute)}, 0},
+		{"given up", stopped, 0},
+	} {
+		r := &recorder{}
+		c := &conn{Conn: r}
+		c.begin(tt.g)
+		n, err := c.Write([]byte("POST "))
+		if n != tt.want || r.n != tt.want || (err == nil) != (tt.want > 0) {
+			t.Errorf("%s: got %d bytes, %v, want %d", tt.name, r.n, err, tt.want)
+		}
+		if got, want := tt.g.stop(), tt.want > 0; got != want {
+			t.Errorf("%s: may have been written: got %v, want %v", tt.name, got, want)
+		}
+	}
+}
