Test claims against lost replies, outages and late requests

Cause: each mechanism of the claims needs a test that fails without it.

Shown by removal, each alone: an unknown swap treated as refused (TestLostReply, TestLateSwap), an exposed request cleared at the revision of its own swap (TestLateSwap), a request in a swap withdrawn as refused (TestGroupCommitAndWithdrawal), results from an outdated cache (TestOutdatedPartition), a refusal after a forwarded request without answer (TestPeers), a late claim after its release (TestApply, TestPeers), no floor and a full partition that takes a key it must drop (TestApply), a modified input (TestApplyProperties).

Not shown: the maximum in the floor's update; dropped keys always lie above the floor, so it only guards against a value written by something else.

--- /dev/null
+++ b/claimer/claimer_test.go
@@ -0,0 +1,239 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/emulator"
+	"carobbend.example/carobbend/encoder"
+)
+
+// hookStore runs a hook in place of a swap.
+type hookStore struct {
+	*emulator.Store
+	swap func(ctx context.Context, key string, value []byte, revision uint64) (bool, error)
+}
+
+func (s *hookStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision uint64) (bool, error) {
+	if s.swap != nil {
+		return s.swap(ctx, key, value, revision)
+	}
+	return s.Store.CompareAndSwap(ctx, key, value, revision)
+}
+
+var fp = []byte("fingerprint")
+
+func wantStatus(t *testing.T, what string, r Result, want Status) {
+	t.Helper()
+	if r.Status != want {
+		t.Errorf("%s: got %q (%s), want %q", what, r.Status, r.Detail, want)
+	}
+}
+
+func deadline(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a claim that is lost, or granted twice, when the reply to its swap is lost.
+func TestLostReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.WithDelay(2 * time.Millisecond))
+		c := New(store, nil)
+		store.LoseReplies(2)
+		wantStatus(t, "claim", c.Claim(t.Context(), "k", fp, "a"), StatusOwned)
+		wantStatus(t, "other owner", c.Claim(t.Context(), "k", fp, "b"), StatusTaken)
+		store.LoseReplies(1)
+		wantStatus(t, "finish", c.Finish(t.Context(), "k", fp, "a", []byte("1")), StatusFinished)
+	})
+}
+
+// Guards against a refusal of a claim whose swap takes effect after the read-back.
+func TestLateSwap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore()
+		h := &hookStore{Store: store}
+		c := New(h, nil, WithPartitions(1))
+		open := carobbend.StoreError{Kind: carobbend.StoreUnknown, Err: errors.New("timed out")}
+		h.swap = func(_ context.Context, key string, value []byte, revision uint64) (bool, error) {
+			store.SetOutage(true)
+			go func() {
+				time.Sleep(time.Second)
+				store.SetOutage(false)
+				_, _ = store.CompareAndSwap(context.Background(), key, value, revision)
+			}()
+			h.swap = nil
+			return false, &open
+		}
+		// The store is down for all that the claim could do in time.
+		wantStatus(t, "claim", c.Claim(deadline(t, 500*time.Millisecond), "k", fp, "a"), StatusUnknown)
+		time.Sleep(time.Second)
+		wantStatus(t, "later", c.Claim(t.Context(), "k", fp, "b"), StatusTaken)
+		wantStatus(t, "release", c.Release(t.Context(), "k", fp, "a"), StatusReleased)
+
+		// The swap is still under way when the partition is read back, and lands before it is repeated.
+		h.swap = func(_ context.Context, key string, value []byte, revision uint64) (bool, error) {
+			h.swap = func(ctx context.Context, key2 string, value2 []byte, revision2 uint64) (bool, error) {
+				_, _ = store.CompareAndSwap(ctx, key, value, revision)
+				h.swap = nil
+				return store.CompareAndSwap(ctx, key2, value2, revision2)
+			}
+			return false, &open
+		}
+		wantStatus(t, "late swap", c.Claim(t.Context(), "l", fp, "a"), StatusOwned)
+
+		// The partition is read back at the same revision, and the repeated swap fails: the first may still land.
+		h.swap = func(context.Context, string, []byte, uint64) (bool, error) {
+			h.swap = func(context.Context, string, []byte, uint64) (bool, error) {
+				return false, &carobbend.StoreError{Kind: carobbend.StoreUnavailable}
+			}
+			return false, &open
+		}
+		wantStatus(t, "pending swap", c.Claim(deadline(t, time.Second), "m", fp, "a"), StatusUnknown)
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against claims that are granted, or left open without need, while the store is down.
+func TestStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.WithDelay(2 * time.Millisecond))
+		store.SetOutage(true)
+		c := New(store, nil)
+		wantStatus(t, "at start", c.Claim(t.Context(), "k", fp, "a"), StatusRefused)
+		wantStatus(t, "look-up", c.Lookup(t.Context(), "k"), StatusUnknown)
+		store.SetOutage(false)
+		wantStatus(t, "after", c.Claim(t.Context(), "k", fp, "b"), StatusOwned)
+		// The outage begins after the swap took effect and its reply was lost.
+		time.Sleep(time.Second)
+		store.LoseReplies(1)
+		time.AfterFunc(5*time.Millisecond, func() { store.SetOutage(true) })
+		time.AfterFunc(time.Second, func() { store.SetOutage(false) })
+		wantStatus(t, "in the middle", c.Claim(t.Context(), "l", fp, "a"), StatusOwned)
+		wantStatus(t, "look-up", c.Lookup(t.Context(), "l"), StatusTaken)
+	})
+}
+
+// Guards against one swap for each request, and against a request that is committed after it was refused.
+func TestGroupCommitAndWithdrawal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.WithDelay(100 * time.Millisecond))
+		c := New(store, nil, WithPartitions(1))
+		var wg sync.WaitGroup
+		claim := func(key string, d time.Duration, want Status) {
+			ctx := deadline(t, d)
+			wg.Go(func() { wantStatus(t, key, c.Claim(ctx, key, fp, "a"), want) })
+			synctest.Wait()
+		}
+		claim("during-read", 50*time.Millisecond, StatusRefused)
+		claim("first", time.Hour, StatusOwned)
+		claim("during-swap", 150*time.Millisecond, StatusUnknown)
+		time.Sleep(120 * time.Millisecond)
+		claim("queued", 50*time.Millisecond, StatusRefused)
+		for i := range 100 {
+			claim(fmt.Sprintf("k%02d", i), time.Hour, StatusOwned)
+		}
+		wg.Wait()
+		if got, want := store.Calls().Writes, int64(2); got != want {
+			t.Errorf("writes for 102 claims: got %d, want %d", got, want)
+		}
+		for key, want := range map[string]Status{
+			"during-read": StatusAbsent, "queued": StatusAbsent, "during-swap": StatusTaken, "k42": StatusTaken,
+		} {
+			wantStatus(t, key, c.Lookup(t.Context(), key), want)
+		}
+	})
+}
+
+// Guards against a grant from an outdated partition, and against results that only an outdated one supports.
+func TestOutdatedPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore()
+		x, y := New(store, nil, WithPartitions(1)), New(store, nil, WithPartitions(1))
+		wantStatus(t, "x", x.Claim(t.Context(), "k", fp, "a"), StatusOwned)
+		wantStatus(t, "y", y.Claim(t.Context(), "l", fp, "b"), StatusOwned)
+		wantStatus(t, "x after y", x.Claim(t.Context(), "l", fp, "a"), StatusTaken)
+		wantStatus(t, "y releases", y.Release(t.Context(), "l", fp, "b"), StatusReleased)
+		wantStatus(t, "x after release", x.Claim(t.Context(), "l", fp, "a"), StatusOwned)
+		if got := x.Counts().Conflicts; got == 0 {
+			t.Error("conflicts: got none, want one or more")
+		}
+	})
+}
+
+// Guards against a value that can't be read being overwritten.
+func TestBadValue(t *testing.T) {
+	store := emulator.NewStore()
+	c := New(store, nil)
+	if _, err := store.CompareAndSwap(t.Context(), c.partition("k").key, []byte("\xff"), 0); err != nil {
+		t.Fatal(err)
+	}
+	wantStatus(t, "claim", c.Claim(t.Context(), "k", fp, "a"), StatusRefused)
+	wantStatus(t, "look-up", c.Lookup(t.Context(), "k"), StatusUnknown)
+}
+
+// link asks the other claimers of one process; route is the name of the preferred instance.
+type link struct {
+	self, route string
+	ask         func(ctx context.Context, req *encoder.Frame) (*encoder.Frame, error)
+}
+
+func (l *link) Self() carobbend.Instance   { return carobbend.Instance{Name: l.self} }
+func (l *link) Live() []carobbend.Instance { return nil }
+func (l *link) Preferred(string, int) []carobbend.Instance {
+	return []carobbend.Instance{{Name: l.route}}
+}
+
+func (l *link) Ask(ctx context.Context, _ string, req *encoder.Frame) (*encoder.Frame, error) {
+	return l.ask(ctx, req)
+}
+
+// Guards against a wrong grant when the preferred instance doesn't answer, answers late or is asked twice.
+func TestPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.WithDelay(2 * time.Millisecond))
+		b := New(store, nil)
+		l := &link{self: "a", route: "b"}
+		a := New(store, l)
+		l.ask = func(ctx context.Context, req *encoder.Frame) (*encoder.Frame, error) {
+			b.HandlePeer(ctx, "a", req)
+			return b.HandlePeer(ctx, "a", req), nil
+		}
+		wantStatus(t, "duplicate", a.Claim(t.Context(), "k1", fp, "a"), StatusOwned)
+		if got := a.Counts().Writes; got != 0 {
+			t.Errorf("own writes of a routed claim: got %d, want 0", got)
+		}
+		wantStatus(t, "routed release", a.Release(t.Context(), "k1", fp, "a"), StatusReleased)
+
+		var late *encoder.Frame
+		l.ask = func(ctx context.Context, req *encoder.Frame) (*encoder.Frame, error) {
+			late = req
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		wantStatus(t, "no answer", a.Claim(deadline(t, time.Second), "k2", fp, "a"), StatusOwned)
+		wantStatus(t, "release", a.Release(deadline(t, time.Second), "k2", fp, "a"), StatusReleased)
+		late.GetClaimRequest().Action = encoder.ClaimAction_CLAIM_ACTION_CLAIM
+		reply := b.HandlePeer(t.Context(), "a", late).GetClaimReply()
+		if got, want := reply.GetStatus(), encoder.ClaimStatus_CLAIM_STATUS_REFUSED; got != want {
+			t.Errorf("late claim after release: got %v, want %v", got, want)
+		}
+		wantStatus(t, "next owner", b.Claim(t.Context(), "k2", fp, "b"), StatusOwned)
+
+		// The forwarded request may still land, so that a refusal here would be wrong.
+		store.SetOutage(true)
+		wantStatus(t, "no answer, store down", a.Claim(deadline(t, time.Second), "k3", fp, "a"), StatusUnknown)
+		store.SetOutage(false)
+		if b.HandlePeer(t.Context(), "a", &encoder.Frame{}) != nil {
+			t.Error("frame of another kind: got a reply, want none")
+		}
+	})
+}
--- /dev/null
+++ b/claimer/core_test.go
@@ -0,0 +1,124 @@
+package claimer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"carobbend.example/carobbend/encoder"
+)
+
+var testBounds = Bounds{Claims: 4, Bytes: 4 << 10}
+
+func claimOf(key, owner string) Request {
+	return Request{Action: ActionClaim, Key: key, Fingerprint: []byte("f"), Owner: owner}
+}
+
+// Guards against a wrong result of a single step; the steps of a case build on each other.
+func TestApply(t *testing.T) {
+	type step struct {
+		req  Request
+		want Status
+	}
+	with := func(r Request, a Action, fingerprint string) Request {
+		r.Action, r.Fingerprint = a, []byte(fingerprint)
+		return r
+	}
+	a, b := claimOf("k5", "a"), claimOf("k5", "b")
+	for name, steps := range map[string][]step{
+		"claim":   {{a, StatusOwned}, {a, StatusOwned}, {b, StatusTaken}, {with(b, ActionClaim, "g"), StatusConflict}},
+		"finish":  {{a, StatusOwned}, {with(b, ActionFinish, "f"), StatusTaken}, {with(a, ActionFinish, "f"), StatusFinished}, {b, StatusFinished}, {with(a, ActionRelease, "f"), StatusFinished}},
+		"release": {{a, StatusOwned}, {with(b, ActionRelease, "f"), StatusTaken}, {with(a, ActionRelease, "f"), StatusReleased}, {a, StatusRefused}, {b, StatusOwned}, {with(a, ActionFinish, "f"), StatusTaken}},
+		// The owner's forwarded claim arrives after it gave up.
+		"late claim": {{with(a, ActionRelease, "f"), StatusReleased}, {a, StatusRefused}, {b, StatusOwned}},
+		"no claim":   {{with(a, ActionFinish, "f"), StatusRefused}, {Request{Key: "k"}, StatusRefused}},
+		"full": {
+			{claimOf("k1", "a"), StatusOwned},
+			{claimOf("k6", "a"), StatusOwned},
+			{claimOf("k7", "a"), StatusOwned},
+			{claimOf("k8", "a"), StatusOwned},
+			{claimOf("k0", "a"), StatusRefused}, // would be dropped at once
+			{a, StatusOwned},                    // drops k1, the floor rises to it
+			{claimOf("k1", "b"), StatusExpired},
+			{claimOf("k0", "b"), StatusExpired},
+			{with(claimOf("k1", "a"), ActionFinish, "f"), StatusExpired},
+			{claimOf("k2", "b"), StatusRefused},
+			{b, StatusTaken},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &encoder.ClaimPartition{}
+			for i, s := range steps {
+				var r []Result
+				if p, r = Apply(p, []Request{s.req}, testBounds); r[0].Status != s.want {
+					t.Fatalf("step %d: got %v, want %q", i, r[0], s.want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a second grant of a key that was not released, a falling floor, a partition beyond its bounds or
+// out of order, a changed input and a batch that differs from its single steps.
+func TestApplyProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &encoder.ClaimPartition{}
+		owned := map[string]string{}
+		request := rapid.Custom(func(t *rapid.T) Request {
+			return Request{
+				Action: Action(rapid.IntRange(1, 3).Draw(t, "action")),
+				Key:    fmt.Sprintf("k%d", rapid.IntRange(0, 9).Draw(t, "key")), Fingerprint: []byte("f"),
+				Owner:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "owner"),
+				Answer: make([]byte, rapid.SampledFrom([]int{0, 900, MaxAnswerBytes + 1}).Draw(t, "answer")),
+			}
+		})
+		for range 30 {
+			batch := rapid.SliceOfN(request, 1, 4).Draw(t, "batch")
+			before := proto.Clone(p)
+			next, results := Apply(p, batch, Bounds{Claims: 4, Bytes: 1500})
+			if !proto.Equal(before, p) {
+				t.Fatal("the partition passed in was modified")
+			}
+			single := p
+			for i, req := range batch {
+				var r []Result
+				single, r = Apply(single, []Request{req}, Bounds{Claims: 4, Bytes: 1500})
+				if r[0].Status != results[i].Status {
+					t.Fatalf("result %d: got %v in a batch, %v alone", i, results[i], r[0])
+				}
+				// Owners draw the same name again, so only another owner's grant without a release is wrong.
+				if was, ok := owned[req.Key]; ok && results[i].Status == StatusOwned && was != req.Owner {
+					t.Fatalf("%s granted to %s while %s holds it", req.Key, req.Owner, was)
+				}
+				if results[i].Status == StatusOwned {
+					owned[req.Key] = req.Owner
+				}
+				if results[i].Status == StatusReleased && owned[req.Key] == req.Owner {
+					delete(owned, req.Key)
+				}
+			}
+			if !proto.Equal(single, next) {
+				t.Fatalf("batch: got %v, want %v", next, single)
+			}
+			if next.GetFloor() < p.GetFloor() {
+				t.Fatalf("floor: fell from %q to %q", p.GetFloor(), next.GetFloor())
+			}
+			size := 0
+			for _, c := range next.GetClaims() {
+				size += claimSize(c)
+			}
+			if len(next.GetClaims()) > 4 || size > 1500 {
+				t.Fatalf("partition: got %d claims, %d bytes", len(next.GetClaims()), size)
+			}
+			if !slices.IsSortedFunc(next.GetClaims(), func(a, b *encoder.Claim) int {
+				return map[bool]int{true: -1, false: 1}[a.GetKey() < b.GetKey()]
+			}) {
+				t.Fatal("claims out of order")
+			}
+			p = next
+		}
+	})
+}
