--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -157,9 +157,11 @@
 		return r
 	}
 	own := p.submit(ctx, req)
-	if asked && r.Status == StatusUnknown && own.Status == StatusRefused {
-		// The forwarded request may still be committed by the peer.
-		own.Status = StatusUnknown
+	if asked && r.Status == StatusUnknown {
+		own.Open = own.Status != StatusOwned
+		if own.Status == StatusRefused {
+			own.Status = StatusUnknown
+		}
 	}
 	return own
 }
--- a/claimer/core.go
+++ b/claimer/core.go
@@ -67,6 +67,21 @@
 	Answer []byte
 	// Detail explains the status in a few words.
 	Detail string
+	// Open says that the request was also forwarded to a peer, which may still commit it. A claim for a taken key can
+	// so become the owner's once the key is released; an owner that gives up must release its claim then.
+	Open bool
+}
+
+// Temporary reports whether the same request may have another result later without another request of its owner.
+func (r Result) Temporary() bool {
+	switch r.Status {
+	case StatusUnknown:
+		return true
+	case StatusRefused:
+		return r.Detail == DetailStoreDown || r.Detail == DetailStoreLimited || r.Detail == DetailWithdrawn
+	default:
+		return false
+	}
 }
 
 // Details of refused requests.
@@ -146,10 +161,30 @@
 	changed bool
 }
 
-// released reports whether the claim was given back. Such a claim has no owner, and its result names the owner
-// that gave it back, so that a late request of this owner can't take it again.
+// released reports whether the key was given back by its last owner; such a claim has no owner.
 func released(c *encoder.Claim) bool { return c.GetOwner() == "" }
 
+// gaveUp reports whether an owner released the key. Until a claim is finished, its result lists these owners, so
+// that a late or repeated request of one of them can't take the key again and block it.
+func gaveUp(c *encoder.Claim, owner string) bool {
+	return !c.GetFinished() && slices.Contains(strings.Split(string(c.GetResult()), ownerSeparator), owner)
+}
+
+// addGaveUp returns the list with owner added; the oldest are dropped beyond maxGaveUp.
+func addGaveUp(c *encoder.Claim, owner string) []byte {
+	var owners []string
+	if r := c.GetResult(); len(r) > 0 {
+		owners = strings.Split(string(r), ownerSeparator)
+	}
+	owners = append(owners, owner)
+	return []byte(strings.Join(owners[max(len(owners)-maxGaveUp, 0):], ownerSeparator))
+}
+
+const (
+	ownerSeparator = ","
+	maxGaveUp      = 16
+)
+
 func (s *state) find(key string) (int, bool) {
 	return slices.BinarySearchFunc(s.claims, key, func(c *encoder.Claim, key string) int {
 		return strings.Compare(c.GetKey(), key)
@@ -171,14 +206,17 @@
 	switch {
 	case c.GetFinished():
 		return Result{Status: StatusFinished, Answer: c.GetResult()}
+	case gaveUp(c, req.Owner):
+		return Result{Status: StatusRefused, Detail: DetailLate}
 	case c.GetOwner() == req.Owner:
 		return Result{Status: StatusOwned}
 	case !released(c):
 		return Result{Status: StatusTaken}
-	case string(c.GetResult()) == req.Owner:
-		return Result{Status: StatusRefused, Detail: DetailLate}
 	}
-	s.replace(i, &encoder.Claim{Key: req.Key, Fingerprint: req.Fingerprint, Owner: req.Owner})
+	s.replace(i, &encoder.Claim{
+		Key: req.Key, Fingerprint: req.Fingerprint, Owner: req.Owner, Result: c.GetResult(),
+	})
+	s.shrink()
 	return Result{Status: StatusOwned}
 }
 
@@ -211,23 +249,30 @@
 	if !ok && req.Key <= s.floor {
 		return Result{Status: StatusExpired}
 	}
-	// A released record is kept even where there was no claim: the owner's claim may still be on its way.
-	n := &encoder.Claim{Key: req.Key, Fingerprint: req.Fingerprint, Result: []byte(req.Owner)}
 	if !ok {
-		return s.insert(n, StatusReleased)
+		// A record is kept even without a claim: the owner's claim may still be on its way.
+		return s.insert(&encoder.Claim{
+			Key: req.Key, Fingerprint: req.Fingerprint, Result: []byte(req.Owner),
+		}, StatusReleased)
 	}
 	c := s.claims[i]
-	switch {
-	case c.GetFinished():
+	if c.GetFinished() {
 		return Result{Status: StatusFinished, Answer: c.GetResult()}
-	case c.GetOwner() == req.Owner:
-		s.replace(i, n)
-		return Result{Status: StatusReleased}
-	case released(c):
-		return Result{Status: StatusReleased}
-	default:
+	}
+	owner := c.GetOwner()
+	if owner == req.Owner {
+		owner = ""
+	}
+	if !gaveUp(c, req.Owner) {
+		s.replace(i, &encoder.Claim{
+			Key: c.GetKey(), Fingerprint: c.GetFingerprint(), Owner: owner, Result: addGaveUp(c, req.Owner),
+		})
+		s.shrink()
+	}
+	if owner != "" {
 		return Result{Status: StatusTaken}
 	}
+	return Result{Status: StatusReleased}
 }
 
 // insert adds a claim and drops the smallest keys beyond the bounds. A claim that would itself be dropped is
--- a/claimer/core_test.go
+++ b/claimer/core_test.go
@@ -27,11 +27,11 @@
 		r.Action, r.Fingerprint = a, []byte(fingerprint)
 		return r
 	}
-	a, b := claimOf("k5", "a"), claimOf("k5", "b")
+	a, b, c := claimOf("k5", "a"), claimOf("k5", "b"), claimOf("k5", "c")
 	for name, steps := range map[string][]step{
 		"claim":   {{a, StatusOwned}, {a, StatusOwned}, {b, StatusTaken}, {with(b, ActionClaim, "g"), StatusConflict}},
 		"finish":  {{a, StatusOwned}, {with(b, ActionFinish, "f"), StatusTaken}, {with(a, ActionFinish, "f"), StatusFinished}, {b, StatusFinished}, {with(a, ActionRelease, "f"), StatusFinished}},
-		"release": {{a, StatusOwned}, {with(b, ActionRelease, "f"), StatusTaken}, {with(a, ActionRelease, "f"), StatusReleased}, {a, StatusRefused}, {b, StatusOwned}, {with(a, ActionFinish, "f"), StatusTaken}},
+		"release": {{a, StatusOwned}, {with(b, ActionRelease, "f"), StatusTaken}, {with(a, ActionRelease, "f"), StatusReleased}, {a, StatusRefused}, {b, StatusRefused}, {c, StatusOwned}, {a, StatusRefused}, {with(a, ActionFinish, "f"), StatusTaken}, {with(c, ActionRelease, "f"), StatusReleased}, {a, StatusRefused}},
 		// The owner's forwarded claim arrives after it gave up.
 		"late claim": {{with(a, ActionRelease, "f"), StatusReleased}, {a, StatusRefused}, {b, StatusOwned}},
 		"no claim":   {{with(a, ActionFinish, "f"), StatusRefused}, {Request{Key: "k"}, StatusRefused}},
@@ -71,7 +71,7 @@
 			return Request{
 				Action: Action(rapid.IntRange(1, 3).Draw(t, "action")),
 				Key:    fmt.Sprintf("k%d", rapid.IntRange(0, 9).Draw(t, "key")), Fingerprint: []byte("f"),
-				Owner:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "owner"),
+				Owner:  rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(t, "owner"),
 				Answer: make([]byte, rapid.SampledFrom([]int{0, 900, MaxAnswerBytes + 1}).Draw(t, "answer")),
 			}
 		})
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -17,6 +17,8 @@
 	op          carobbend.Operation
 	fingerprint []byte
 	owner       string
+	// open says that a peer may still commit a claim of this attempt.
+	open bool
 	// written says that an upstream may have received a byte.
 	written bool
 }
@@ -26,6 +28,7 @@
 	waited := false
 	for wait := pollBase; ; wait = min(2*wait, pollMax) {
 		r := a.d.cfg.Claims.Claim(ctx, a.op.Key, a.fingerprint, a.owner)
+		a.open = a.open || r.Open || r.Status == claimer.StatusUnknown
 		switch r.Status {
 		case claimer.StatusOwned:
 			return a.dispatch(ctx)
@@ -40,24 +43,28 @@
 		case claimer.StatusTaken:
 			waited = true
 		case claimer.StatusRefused:
-			if waited {
-				return unknown(DetailInProgress)
-			}
-			return a.notRun("the claim was refused, nothing was sent for this request: " + r.Detail)
+			return a.giveUp(ctx, waited, "the claim was refused, nothing was sent for this request: "+r.Detail)
 		default:
-			// The claim may be committed. This attempt gives it up, so that a later request can run.
-			a.record(ctx, a.release)
-			if waited {
-				return unknown(DetailInProgress)
-			}
-			return a.notRun("the claim wasn't confirmed, nothing was sent for this request: " + r.Detail)
+			return a.giveUp(ctx, waited, "the claim wasn't confirmed, nothing was sent for this request: "+r.Detail)
 		}
 		if !pause(ctx, wait/2+rand.N(wait)) {
-			return unknown(DetailInProgress)
+			return a.giveUp(ctx, true, "")
 		}
 	}
 }
 
+// giveUp ends an attempt that doesn't own the key. A claim that may still be committed is released, since it would
+// block the key for later requests.
+func (a *attempt) giveUp(ctx context.Context, waited bool, detail string) carobbend.OperationResult {
+	if a.open {
+		a.record(ctx, a.release)
+	}
+	if waited {
+		return unknown(DetailInProgress)
+	}
+	return a.notRun(detail)
+}
+
 // dispatch sends the operation to one upstream. Another upstream is tried only where a failure guarantees that
 // nothing ran. The operation goes on if the caller disconnects, so that its result is recorded.
 func (a *attempt) dispatch(ctx context.Context) carobbend.OperationResult {
@@ -80,9 +87,8 @@
 		a.written = true
 		body, err := a.d.send(ctx, id, a.op)
 		if err == nil {
-			a.record(ctx, func(ctx context.Context) bool {
-				r := a.d.cfg.Claims.Finish(ctx, a.op.Key, a.fingerprint, a.owner, body)
-				return r.Status == claimer.StatusFinished || r.Status == claimer.StatusExpired
+			a.record(ctx, func(ctx context.Context) claimer.Result {
+				return a.d.cfg.Claims.Finish(ctx, a.op.Key, a.fingerprint, a.owner, body)
 			})
 			return carobbend.OperationResult{Outcome: carobbend.OutcomeDone, Body: body}
 		}
@@ -98,9 +104,8 @@
 	return a.notRun(detail)
 }
 
-func (a *attempt) release(ctx context.Context) bool {
-	r := a.d.cfg.Claims.Release(ctx, a.op.Key, a.fingerprint, a.owner)
-	return r.Status == claimer.StatusReleased || r.Status == claimer.StatusExpired || r.Status == claimer.StatusTaken
+func (a *attempt) release(ctx context.Context) claimer.Result {
+	return a.d.cfg.Claims.Release(ctx, a.op.Key, a.fingerprint, a.owner)
 }
 
 func (a *attempt) notRun(detail string) carobbend.OperationResult {
@@ -112,11 +117,11 @@
 
 // record commits the end of the attempt in the background, since the caller's answer doesn't depend on it. It
 // retries until the store confirms or the time is up.
-func (a *attempt) record(ctx context.Context, commit func(context.Context) bool) {
+func (a *attempt) record(ctx context.Context, commit func(context.Context) claimer.Result) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.d.cfg.RecordTimeout)
 	a.d.recording.Go(func() {
 		defer cancel()
-		for wait := pollBase; !commit(ctx); wait = min(2*wait, pollMax) {
+		for wait := pollBase; commit(ctx).Temporary(); wait = min(2*wait, pollMax) {
 			if !pause(ctx, wait/2+rand.N(wait)) {
 				a.d.counts.unrecorded.Add(1)
 				return
