Add the balancer

Cause: replicas must be chosen by own observations; a replica that fails fast or reports no load must not attract requests. Ruled out: plain least-latency (starves the second-best replica; scores within 15% count as equal) and learning from successes alone (a straggler's requests are always cut by the hedge's reply, so a cut request counts as twice its age).

--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,246 @@
+// Package balancer chooses the replica that a shard request goes to.
+//
+// The choice is the less loaded of two random candidates. A candidate's load is its own requests in flight plus
+// one, times its smoothed latency. Failures add a penalty and never lower the latency estimate, so a replica that
+// fails fast doesn't attract requests. A replica is ejected for a back-off time after consecutive failures or when
+// its latency is far above the other candidates'; at most half of the candidates are passed over for this reason.
+//
+// The package uses no clock; all times are passed in. A Balancer is safe for concurrent use.
+//
+// # Usage
+//
+//	b := balancer.New(balancer.WithSeed(1), balancer.WithLimits(limits))
+//	id, ok := b.Pick(now, layout.Replicas[shard], nil)
+//	b.Sent(now, id)
+//	b.Finished(now, id, latency, carobbend.KindOf(err), reply.Load)
+package balancer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/asserter"
+)
+
+// LeavingBound is the time after which a leaving upstream must receive no new work.
+const LeavingBound = 3 * time.Second
+
+// Limits is a concurrency limit per upstream that a Balancer consults and informs.
+type Limits interface {
+	// Allow reports whether another request to id is within the limit.
+	Allow(now time.Time, id carobbend.UpstreamID) bool
+	// Sent records that a request to id was started.
+	Sent(now time.Time, id carobbend.UpstreamID)
+	// Finished records the end of a request.
+	Finished(now time.Time, id carobbend.UpstreamID, latency time.Duration, kind carobbend.FailureKind)
+}
+
+// Option configures a Balancer.
+type Option func(*Balancer)
+
+// WithSeed fixes the random choices.
+func WithSeed(seed uint64) Option {
+	return func(b *Balancer) { b.rng = rand.New(rand.NewPCG(seed, 0)) }
+}
+
+// WithLimits makes candidates that are over their limit come after the others.
+func WithLimits(l Limits) Option { return func(b *Balancer) { b.limits = l } }
+
+// WithoutEjection switches ejection off, for comparison.
+func WithoutEjection() Option { return func(b *Balancer) { b.noEject = true } }
+
+// WithoutSlowStart switches slow start off, for comparison.
+func WithoutSlowStart() Option { return func(b *Balancer) { b.noSlowStart = true } }
+
+// WithoutLoadHint ignores reported load, for comparison.
+func WithoutLoadHint() Option { return func(b *Balancer) { b.noHint = true } }
+
+// Balancer implements carobbend.Balancer.
+type Balancer struct {
+	limits      Limits
+	noEject     bool
+	noSlowStart bool
+	noHint      bool
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	nodes map[carobbend.UpstreamID]*node
+}
+
+var _ carobbend.Balancer = (*Balancer)(nil)
+
+// New returns a Balancer that knows no upstream yet.
+func New(opts ...Option) *Balancer {
+	b := &Balancer{rng: rand.New(rand.NewPCG(1, 0)), nodes: map[carobbend.UpstreamID]*node{}}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
+}
+
+// Pick returns the candidate for a new request. Leaving candidates are never returned; candidates in avoid are
+// returned only where no other candidate is left.
+func (b *Balancer) Pick(now time.Time, candidates, avoid []carobbend.UpstreamID) (carobbend.UpstreamID, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	staying := b.staying(now, candidates)
+	fresh := without(staying, avoid)
+	if len(fresh) == 0 {
+		return b.choose(now, staying)
+	}
+	eligible := b.notEjected(now, staying, fresh)
+	if len(avoid) > 0 {
+		// A second request for a shard goes to a replica that isn't shedding, or to none.
+		eligible = keep(eligible, func(n *node) bool { return !now.Before(n.shedUntil) })
+		if len(eligible) == 0 {
+			return "", false
+		}
+	}
+	eligible = prefer(eligible, func(n *node) bool { return !now.Before(n.shedUntil) })
+	if b.limits != nil {
+		eligible = prefer(eligible, func(n *node) bool { return b.limits.Allow(now, n.id) })
+	}
+	if !b.noSlowStart {
+		eligible = prefer(eligible, func(n *node) bool { return b.rng.Float64() < n.ramp(now) })
+	}
+	return b.choose(now, eligible)
+}
+
+// Sent records that a request to id was started.
+func (b *Balancer) Sent(now time.Time, id carobbend.UpstreamID) {
+	b.mu.Lock()
+	n := b.node(now, id)
+	n.inFlight++
+	late := n.leaving && now.Sub(n.leavingSince) > LeavingBound
+	since := n.leavingSince
+	b.mu.Unlock()
+	asserter.Check(!late, asserter.Leaving, "upstream", id, "since", since, "now", now)
+	if b.limits != nil {
+		b.limits.Sent(now, id)
+	}
+}
+
+// Finished records the end of a request; latency counts from Sent, and load is negative where none was reported.
+func (b *Balancer) Finished(
+	now time.Time, id carobbend.UpstreamID, latency time.Duration, kind carobbend.FailureKind, load float64,
+) {
+	if b.limits != nil {
+		b.limits.Finished(now, id, latency, kind)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.node(now, id)
+	n.inFlight = max(n.inFlight-1, 0)
+	if load >= 0 {
+		n.load, n.loadAt = load, now
+	}
+	switch kind {
+	case carobbend.FailureNone:
+		n.succeeded(now, latency)
+	case carobbend.FailureShed:
+		n.shed(now)
+	case carobbend.FailureLeaving:
+		n.setLeaving(now, true)
+	case carobbend.FailureSnapshotGone:
+		// The upstream answered in order; the catalog learns what it no longer holds.
+		n.failures = 0
+	case carobbend.FailureCanceled:
+		n.cut(now, latency)
+	default:
+		n.cut(now, latency)
+		n.failed(now, b.rng)
+	}
+}
+
+// Leaving records that id accepts no new work, or that it is back.
+func (b *Balancer) Leaving(now time.Time, id carobbend.UpstreamID, leaving bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.node(now, id).setLeaving(now, leaving)
+}
+
+// Forget drops what is known of upstreams that are no longer in use.
+func (b *Balancer) Forget(ids ...carobbend.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range ids {
+		delete(b.nodes, id)
+	}
+}
+
+func (b *Balancer) node(now time.Time, id carobbend.UpstreamID) *node {
+	n := b.nodes[id]
+	if n == nil {
+		n = &node{id: id, since: now}
+		b.nodes[id] = n
+	}
+	return n
+}
+
+// staying returns the candidates that aren't leaving.
+func (b *Balancer) staying(now time.Time, ids []carobbend.UpstreamID) []*node {
+	out := make([]*node, 0, len(ids))
+	for _, id := range ids {
+		if n := b.node(now, id); !n.leaving {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// choose returns the less loaded of two random nodes.
+func (b *Balancer) choose(now time.Time, nodes []*node) (carobbend.UpstreamID, bool) {
+	switch len(nodes) {
+	case 0:
+		return "", false
+	case 1:
+		return nodes[0].id, true
+	}
+	i := b.rng.IntN(len(nodes))
+	j := b.rng.IntN(len(nodes) - 1)
+	if j >= i {
+		j++
+	}
+	unknown := max(medianEstimate(nodes), float64(time.Millisecond))
+	x, y := nodes[i], nodes[j]
+	sx, sy := x.score(now, unknown, !b.noHint), y.score(now, unknown, !b.noHint)
+	// Differences within the noise of the estimates would send all requests to the same replica.
+	if sy < sx*(1-tieBand) {
+		return y.id, true
+	}
+	return x.id, true
+}
+
+func keep(nodes []*node, f func(*node) bool) []*node {
+	out := make([]*node, 0, len(nodes))
+	for _, n := range nodes {
+		if f(n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// prefer returns the nodes that fulfil f, or all where none does.
+func prefer(nodes []*node, f func(*node) bool) []*node {
+	if out := keep(nodes, f); len(out) > 0 {
+		return out
+	}
+	return nodes
+}
+
+func without(nodes []*node, avoid []carobbend.UpstreamID) []*node {
+	if len(avoid) == 0 {
+		return nodes
+	}
+	return keep(nodes, func(n *node) bool {
+		for _, id := range avoid {
+			if id == n.id {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/balancer/node.go
@@ -0,0 +1,162 @@
+package balancer
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+const (
+	// latencyWindow is the time constant of the smoothed latency.
+	latencyWindow = 500 * time.Millisecond
+	// minWeight and maxWeight bound the weight of one observation, whatever the time since the last one.
+	minWeight = 0.05
+	maxWeight = 0.3
+	// tieBand is the relative difference between two scores that counts as equal.
+	tieBand = 0.15
+	// penaltyWindow is the time constant with which the penalty of failures fades.
+	penaltyWindow = 2 * time.Second
+	// minPenalty and maxPenalty bound the penalty of a failure and the sum of penalties.
+	minPenalty = 10 * time.Millisecond
+	maxPenalty = time.Second
+	// cutFactor scales the age of a request that was cut: it has lasted at least that long and wasn't near its end.
+	cutFactor = 2
+	// shedPause is the time for which an upstream that shed a request is passed over.
+	shedPause = 20 * time.Millisecond
+	// hintLifetime is the age at which a reported load has no influence left.
+	hintLifetime = time.Second
+	// maxHint bounds the reported load, so that a wrong report changes a score by this factor plus 1 at most.
+	maxHint = 1.5
+)
+
+// node is what is known of one upstream.
+type node struct {
+	id       carobbend.UpstreamID
+	inFlight int
+	// latency is the smoothed latency in nanoseconds; 0 where none was observed.
+	latency    float64
+	samples    int
+	observedAt time.Time
+	penalty    float64
+	penaltyAt  time.Time
+	shedUntil  time.Time
+	load       float64
+	loadAt     time.Time
+	// since is the time of the first contact or of the last recovery.
+	since        time.Time
+	leaving      bool
+	leavingSince time.Time
+	failures     int
+	ejectedUntil time.Time
+	ejections    int
+	ejectedAt    time.Time
+}
+
+// score is the expected cost of one more request; unknown stands in for a latency that was never observed.
+func (n *node) score(now time.Time, unknown float64, hint bool) float64 {
+	s := float64(n.inFlight+1) * (n.estimate(unknown) + n.penaltyNow(now))
+	if hint {
+		s *= 1 + n.hint(now)
+	}
+	return s
+}
+
+func (n *node) estimate(unknown float64) float64 {
+	if n.samples == 0 {
+		return unknown
+	}
+	return n.latency
+}
+
+// hint is the reported load, which fades to 0 as it ages.
+func (n *node) hint(now time.Time) float64 {
+	age := now.Sub(n.loadAt)
+	if n.loadAt.IsZero() || age < 0 || age >= hintLifetime {
+		return 0
+	}
+	fresh := 1 - float64(age)/float64(hintLifetime)
+	return min(max(n.load, 0), maxHint) * fresh
+}
+
+func (n *node) penaltyNow(now time.Time) float64 {
+	if n.penalty == 0 {
+		return 0
+	}
+	return n.penalty * math.Exp(-float64(now.Sub(n.penaltyAt))/float64(penaltyWindow))
+}
+
+func (n *node) succeeded(now time.Time, latency time.Duration) {
+	n.failures = 0
+	n.observe(now, float64(latency))
+	if n.ejections > 0 && now.Sub(n.ejectedAt) > ejectionMemory {
+		n.ejections = 0
+	}
+}
+
+// cut learns from a request without a reply, which can only raise the estimate.
+func (n *node) cut(now time.Time, age time.Duration) {
+	if l := float64(age) * cutFactor; l > n.latency {
+		n.observe(now, l)
+	}
+}
+
+func (n *node) observe(now time.Time, latency float64) {
+	if n.samples == 0 {
+		n.latency = latency
+	} else {
+		w := 1 - math.Exp(-float64(now.Sub(n.observedAt))/float64(latencyWindow))
+		w = min(max(w, minWeight), maxWeight)
+		n.latency += w * (latency - n.latency)
+	}
+	n.samples++
+	n.observedAt = now
+}
+
+func (n *node) failed(now time.Time, rng *rand.Rand) {
+	n.failures++
+	n.addPenalty(now)
+	if n.failures >= maxFailures {
+		n.eject(now, rng)
+	}
+}
+
+func (n *node) shed(now time.Time) {
+	n.failures = 0
+	n.shedUntil = now.Add(shedPause)
+}
+
+func (n *node) addPenalty(now time.Time) {
+	p := n.penaltyNow(now) + max(n.latency, float64(minPenalty))
+	n.penalty, n.penaltyAt = min(p, float64(maxPenalty)), now
+}
+
+func (n *node) setLeaving(now time.Time, leaving bool) {
+	if leaving == n.leaving {
+		return
+	}
+	n.leaving = leaving
+	if leaving {
+		n.leavingSince = now
+		return
+	}
+	n.recover(now)
+}
+
+// recover starts afresh after an absence.
+func (n *node) recover(now time.Time) {
+	n.since = now
+	n.samples, n.latency = 0, 0
+	n.failures = 0
+	n.penalty = 0
+}
+
+// ramp is the share of its requests that a node gets during slow start, from minRamp to 1.
+func (n *node) ramp(now time.Time) float64 {
+	age := now.Sub(n.since)
+	if age >= slowStart {
+		return 1
+	}
+	return max(minRamp, float64(age)/float64(slowStart))
+}
