--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,173 @@
+// Package limiter bounds the concurrency towards each upstream and the connections that an instance may hold.
+//
+// A limit starts at the upstream's slots divided by the live instances, grows by additive increase while it is in
+// use, and falls by multiplicative decrease on sheds and on latency far above its baseline. Where the slots are
+// fewer than the instances the sum of limits of one each already exceeds the slots; a limit may therefore fall
+// below one, which admits one request at a time with a pause after it, so that the mean concurrency is the limit.
+//
+// The package uses no clock; all times are passed in. A Limiter is safe for concurrent use.
+//
+// # Usage
+//
+//	l := limiter.New(limiter.WithSlots(slotsOf), limiter.WithInstances(liveInstances))
+//	b := balancer.New(balancer.WithLimits(l))
+//	conns := limiter.NewConns(members)
+package limiter
+
+import (
+	"sync"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+const (
+	// defaultSlots is used where the slots of an upstream aren't known.
+	defaultSlots = 4
+	// floorLimit is the lowest limit.
+	floorLimit = 0.25
+	// shedFactor and slowFactor scale the limit on a shed and on a latency above the baseline.
+	shedFactor = 0.7
+	slowFactor = 0.9
+	// slowRatio is the smoothed latency over its baseline that counts as congestion.
+	slowRatio = 3
+	// latencyWeight is the weight of one observation in the smoothed latency.
+	latencyWeight = 0.1
+	// baselineDrift is the share of the difference by which the baseline rises with each observation above it.
+	baselineDrift = 0.002
+	// minPause bounds the time between two decreases from below.
+	minPause = 10 * time.Millisecond
+)
+
+// Option configures a Limiter.
+type Option func(*Limiter)
+
+// WithSlots sets the number of requests that an upstream runs at a time; 0 means that it isn't known.
+func WithSlots(f func(carobbend.UpstreamID) int) Option { return func(l *Limiter) { l.slots = f } }
+
+// WithInstances sets the number of live instances.
+func WithInstances(f func() int) Option { return func(l *Limiter) { l.instances = f } }
+
+// WithFloor sets the lowest limit, for comparison.
+func WithFloor(floor float64) Option { return func(l *Limiter) { l.floor = floor } }
+
+// Limiter holds the limits of all upstreams.
+type Limiter struct {
+	slots     func(carobbend.UpstreamID) int
+	instances func() int
+	floor     float64
+
+	mu    sync.Mutex
+	state map[carobbend.UpstreamID]*limit
+}
+
+type limit struct {
+	value    float64
+	most     float64
+	inFlight int
+	// smoothed and baseline are latencies in nanoseconds.
+	smoothed  float64
+	baseline  float64
+	nextCut   time.Time
+	notBefore time.Time
+}
+
+// New returns a Limiter that knows no upstream yet.
+func New(opts ...Option) *Limiter {
+	l := &Limiter{
+		slots:     func(carobbend.UpstreamID) int { return defaultSlots },
+		instances: func() int { return 1 },
+		floor:     floorLimit,
+		state:     map[carobbend.UpstreamID]*limit{},
+	}
+	for _, o := range opts {
+		o(l)
+	}
+	return l
+}
+
+// Allow reports whether another request to id is within the limit.
+func (l *Limiter) Allow(now time.Time, id carobbend.UpstreamID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.of(id)
+	if s.value < 1 {
+		return s.inFlight == 0 && !now.Before(s.notBefore)
+	}
+	return s.inFlight < int(s.value)
+}
+
+// Sent records that a request to id was started.
+func (l *Limiter) Sent(_ time.Time, id carobbend.UpstreamID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(id).inFlight++
+}
+
+// Finished records the end of a request; latency counts from Sent.
+func (l *Limiter) Finished(now time.Time, id carobbend.UpstreamID, latency time.Duration, kind carobbend.FailureKind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.of(id)
+	used := s.inFlight >= int(s.value)
+	s.inFlight = max(s.inFlight-1, 0)
+	switch kind {
+	case carobbend.FailureShed:
+		s.decrease(now, shedFactor, l.floor)
+	case carobbend.FailureNone:
+		s.observe(float64(latency))
+		switch {
+		case s.baseline > 0 && s.smoothed > slowRatio*s.baseline:
+			s.decrease(now, slowFactor, 1)
+		case used:
+			s.value = min(s.value+1/max(s.value, 1), s.most)
+		}
+	default:
+		// Other failures say nothing about concurrency; the balancer ejects on them.
+	}
+	if s.value < 1 {
+		s.notBefore = now.Add(time.Duration(s.baseline * (1/s.value - 1)))
+	}
+}
+
+// Limit returns the present limit of id.
+func (l *Limiter) Limit(id carobbend.UpstreamID) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.of(id).value
+}
+
+func (l *Limiter) of(id carobbend.UpstreamID) *limit {
+	s := l.state[id]
+	if s == nil {
+		slots := l.slots(id)
+		if slots <= 0 {
+			slots = defaultSlots
+		}
+		s = &limit{value: max(float64(slots)/float64(max(l.instances(), 1)), 1), most: float64(slots)}
+		l.state[id] = s
+	}
+	return s
+}
+
+func (s *limit) observe(latency float64) {
+	if s.smoothed == 0 {
+		s.smoothed, s.baseline = latency, latency
+		return
+	}
+	s.smoothed += latencyWeight * (latency - s.smoothed)
+	if s.smoothed < s.baseline {
+		s.baseline = s.smoothed
+	} else {
+		s.baseline += baselineDrift * (s.smoothed - s.baseline)
+	}
+}
+
+// decrease scales the limit once per smoothed latency, so that one congestion isn't counted several times.
+func (s *limit) decrease(now time.Time, factor, floor float64) {
+	if now.Before(s.nextCut) {
+		return
+	}
+	s.nextCut = now.Add(max(time.Duration(s.smoothed), minPause))
+	s.value = max(s.value*factor, min(floor, s.value))
+}
