Add the hedger and the extra-load budget

Cause: hedges must follow the index's latency and stay within the rule over all instances. The delay rises from p95 to p99.5 as the budget runs low, so that the last tokens go to the slowest requests. Ruled out: rotation of the histogram by time (the interface passes none). TestBudgetBound fails without the token check, TestSlowIndexIsNotDoubled with a fixed delay.

--- /dev/null
+++ b/hedger/hedger.go
@@ -0,0 +1,133 @@
+// Package hedger decides when a slow shard request may be hedged and bounds the extra load.
+//
+// The hedge delay of an index is a quantile (p95 by default) of its recent latencies. While the budget runs low the
+// quantile rises towards p99.5, so that the remaining tokens go to the slowest requests and to retries. The budget
+// is a token bucket per index that only primary shard requests fill; hedges and retries can never exceed the
+// percentage of primaries that the rule allows.
+//
+// The package uses no clock; histograms rotate by the number of observations. All types are safe for concurrent use.
+//
+// # Usage
+//
+//	budget := hedger.NewBudget()
+//	h := hedger.New(hedger.WithBudget(budget))
+//	budget.Earn("sales-desk", 10, 5) // 10 primary shard requests under a rule of 5%
+//	if age > h.Delay("sales-desk") && budget.Spend("sales-desk") { /* hedge */ }
+package hedger
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"carobbend.example/carobbend"
+)
+
+const (
+	// defaultQuantile is the latency quantile, in percent, after which a request may be hedged.
+	defaultQuantile = 95
+	// scarceQuantile is the quantile, in percent, used when the budget is empty.
+	scarceQuantile = 99.5
+	// defaultDelay is used until minObservations were made.
+	defaultDelay    = 20 * time.Millisecond
+	minObservations = 50
+	// minDelay keeps hedges from following their primary at once where an index is very fast.
+	minDelay = time.Millisecond
+	// windows histograms of perWindow observations each are kept; the oldest is dropped when a new one starts.
+	windows   = 4
+	perWindow = 500
+	// refreshAfter is the number of observations after which the quantile is computed anew.
+	refreshAfter = 50
+	// histMax is the greatest latency recorded; greater ones count as this.
+	histMax    = 10 * time.Second
+	histDigits = 2
+)
+
+// Option configures a Hedger.
+type Option func(*Hedger)
+
+// WithQuantile sets the latency quantile in percent.
+func WithQuantile(q float64) Option { return func(h *Hedger) { h.quantile = q } }
+
+// WithBudget makes the delay rise while the budget runs low.
+func WithBudget(b *Budget) Option { return func(h *Hedger) { h.budget = b } }
+
+// Hedger implements carobbend.Hedger.
+type Hedger struct {
+	quantile float64
+	budget   *Budget
+
+	mu      sync.Mutex
+	indexes map[string]*latencies
+}
+
+var _ carobbend.Hedger = (*Hedger)(nil)
+
+// latencies holds the recent latencies of one index, in microseconds.
+type latencies struct {
+	recent *hdrhistogram.WindowedHistogram
+	// inWindow and sinceRefresh count observations.
+	inWindow     int
+	sinceRefresh int
+	total        int
+	normal       time.Duration
+	scarce       time.Duration
+}
+
+// New returns a Hedger that has observed nothing.
+func New(opts ...Option) *Hedger {
+	h := &Hedger{quantile: defaultQuantile, indexes: map[string]*latencies{}}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
+}
+
+// Delay returns the age at which a shard request of the index may be hedged.
+func (h *Hedger) Delay(index string) time.Duration {
+	h.mu.Lock()
+	l := h.indexes[index]
+	if l == nil || l.total < minObservations {
+		h.mu.Unlock()
+		return defaultDelay
+	}
+	normal, scarce := l.normal, l.scarce
+	h.mu.Unlock()
+	if h.budget == nil {
+		return max(normal, minDelay)
+	}
+	fill := h.budget.Fill(index)
+	return max(normal+time.Duration((1-fill)*float64(scarce-normal)), minDelay)
+}
+
+// Observe learns the latency of a successful shard request.
+func (h *Hedger) Observe(index string, latency time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.indexes[index]
+	if l == nil {
+		l = &latencies{recent: hdrhistogram.NewWindowed(windows, 1, histMax.Microseconds(), histDigits)}
+		h.indexes[index] = l
+	}
+	v := min(max(latency.Microseconds(), 1), histMax.Microseconds())
+	if err := l.recent.Current.RecordValue(v); err != nil {
+		return
+	}
+	l.total++
+	l.sinceRefresh++
+	if l.inWindow++; l.inWindow >= perWindow {
+		l.recent.Rotate()
+		l.inWindow = 0
+	}
+	if l.sinceRefresh >= refreshAfter {
+		l.refresh(h.quantile)
+	}
+}
+
+func (l *latencies) refresh(quantile float64) {
+	l.sinceRefresh = 0
+	m := l.recent.Merge()
+	l.normal = time.Duration(m.ValueAtQuantile(quantile)) * time.Microsecond
+	l.scarce = max(time.Duration(m.ValueAtQuantile(scarceQuantile))*time.Microsecond, l.normal)
+}
--- /dev/null
+++ b/hedger/hedger_test.go
@@ -0,0 +1,116 @@
+package hedger
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func observe(h *Hedger, n int, base time.Duration) {
+	for i := range n {
+		h.Observe("i", base+time.Duration(i%100)*base/100)
+	}
+}
+
+// Guards against a fixed delay: it follows the quantile of the index's latency, up and down.
+func TestDelayFollowsQuantile(t *testing.T) {
+	h := New()
+	if got, want := h.Delay("i"), defaultDelay; got != want {
+		t.Errorf("delay before observations: got %v, want %v", got, want)
+	}
+	for _, base := range []time.Duration{4 * time.Millisecond, 40 * time.Millisecond, 4 * time.Millisecond} {
+		observe(h, (windows+1)*perWindow, base)
+		want := base + base*95/100
+		if got := h.Delay("i"); got < want*97/100 || got > want*103/100 {
+			t.Errorf("delay at %v: got %v, want about %v", base, got, want)
+		}
+	}
+	if got, want := h.Delay("other"), defaultDelay; got != want {
+		t.Errorf("delay of another index: got %v, want %v", got, want)
+	}
+}
+
+// Guards against doubling the load of an index that is slow as a whole: after it became 10 times slower, hedges stop
+// within the burst of the budget and a few windows.
+func TestSlowIndexIsNotDoubled(t *testing.T) {
+	b := NewBudget()
+	h := New(WithBudget(b))
+	observe(h, windows*perWindow, 4*time.Millisecond)
+	b.Earn("i", 100_000, 5)
+	const n = 4000
+	hedges, lateHedges := 0, 0
+	for i := range n {
+		b.Earn("i", 1, 5)
+		d := 40*time.Millisecond + time.Duration(i%100)*100*time.Microsecond
+		if d > h.Delay("i") && b.Spend("i") {
+			hedges++
+			if i > n/2 {
+				lateHedges++
+			}
+		}
+		h.Observe("i", d)
+	}
+	if most := defaultBurst + n*5/100; hedges > most {
+		t.Errorf("hedges: got %d of %d, want at most %d", hedges, n, most)
+	}
+	if most := n / 2 * 5 / 100; lateHedges > most {
+		t.Errorf("hedges once learned: got %d of %d, want at most %d", lateHedges, n/2, most)
+	}
+}
+
+// Guards against spending the last tokens on requests that are only a little slow.
+func TestDelayRisesAsBudgetRunsLow(t *testing.T) {
+	b := NewBudget()
+	h := New(WithBudget(b))
+	observe(h, windows*perWindow, 4*time.Millisecond)
+	empty := h.Delay("i")
+	b.Earn("i", 100_000, 5)
+	if full := h.Delay("i"); full >= empty {
+		t.Errorf("delay: got %v with a full and %v with an empty budget, want less with a full one", full, empty)
+	}
+}
+
+// Guards against extra load beyond the rule: whatever the order of events and changes of the rule, the hedges and
+// retries stay within the percentage of the primaries, and the saved ones within the burst.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		burst := rapid.IntRange(1, 50).Draw(t, "burst")
+		b := NewBudget(WithBurst(burst))
+		earned, spent, sinceEarn := 0.0, 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "earn") {
+				n, percent := rapid.IntRange(0, 600).Draw(t, "n"), rapid.Float64Range(0, 100).Draw(t, "percent")
+				b.Earn("i", n, percent)
+				earned += float64(n) * percent / 100
+				sinceEarn = 0
+				continue
+			}
+			if b.Spend("i") {
+				spent++
+				sinceEarn++
+			}
+			if float64(spent) > earned+1e-6 || sinceEarn > burst {
+				t.Fatalf("spent: got %d, %d of them in a row, want at most %.3f and %d", spent, sinceEarn, earned, burst)
+			}
+		}
+	})
+}
+
+// Guards against a budget that withholds what was earned, and one that a removed rule leaves full.
+func TestBudgetEarnsAndEmpties(t *testing.T) {
+	b := NewBudget()
+	b.Earn("i", 40, 5)
+	got := 0
+	for b.Spend("i") {
+		got++
+	}
+	if want := 2; got != want {
+		t.Errorf("spent of 40 primaries at 5%%: got %d, want %d", got, want)
+	}
+	b.Earn("i", 1000, 5)
+	b.Earn("i", 1, 0)
+	if b.Spend("i") {
+		t.Error("spend after a rule of 0%: got true, want false")
+	}
+}
