Add the admitter and its gate

Cause: under overload a refusal at once is better than an answer past its deadline, and a flooding house must not take the others' share.

--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,223 @@
+// Package admitter orders queries before they run and refuses early what can't be answered in time.
+//
+// Queries wait in bounded queues by priority class and house. The classes first, ordinary and last share the
+// capacity by weights of 8:3:1, so that lower classes never starve. Inside a class the houses are served by deficit
+// round robin over the cost of queries, weighted by their share. The number of running queries is limited; the
+// limit grows while it is in use and falls when queries take much longer than usual or lose shards to sheds.
+//
+// Admitter is the core without clock or goroutines and isn't safe for concurrent use. Gate wraps it for servers.
+//
+// # Usage
+//
+//	g := admitter.NewGate(admitter.New(admitter.WithShares(shareOf)))
+//	release, refusal := g.Enter(ctx, query, class, shards)
+//	if refusal != "" {
+//		return notRun(refusal)
+//	}
+//	answer := runner.Run(ctx, query)
+//	release(answer)
+package admitter
+
+import (
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+const (
+	defaultHouseQueue = 64
+	defaultTotalQueue = 1024
+)
+
+// Reasons for a refusal, as they appear in Ticket.Detail.
+const (
+	RefusedHouseFull = "the queue of the house is full"
+	RefusedFull      = "the queue is full"
+	RefusedDeadline  = "the deadline can't be met"
+	RefusedCanceled  = "the caller gave up"
+)
+
+// Option configures an Admitter.
+type Option func(*Admitter)
+
+// WithShares sets the weight of each house; weights below 1 count as 1.
+func WithShares(f func(house string) int) Option { return func(a *Admitter) { a.shares = f } }
+
+// WithQueue bounds the queries that wait, for each house of a class and in total.
+func WithQueue(house, total int) Option {
+	return func(a *Admitter) { a.houseQueue, a.totalQueue = house, total }
+}
+
+// WithLimit sets the number of queries that run at a time: at the start, at least and at most.
+func WithLimit(start, least, most int) Option {
+	return func(a *Admitter) { a.limit = newConcurrency(start, least, most) }
+}
+
+// Admitter implements carobbend.Admitter.
+type Admitter struct {
+	shares     func(house string) int
+	houseQueue int
+	totalQueue int
+	limit      concurrency
+
+	classes [classCount]*classQueue
+	// virtual is the class service, cost over weight, that was reached last.
+	virtual float64
+	waiting int
+	running int
+	refused []*carobbend.Ticket
+}
+
+var _ carobbend.Admitter = (*Admitter)(nil)
+
+// New returns an Admitter with empty queues.
+func New(opts ...Option) *Admitter {
+	a := &Admitter{
+		shares:     func(string) int { return 1 },
+		houseQueue: defaultHouseQueue,
+		totalQueue: defaultTotalQueue,
+		limit:      newConcurrency(defaultLimit, defaultLeast, defaultMost),
+	}
+	for i, w := range classWeights {
+		a.classes[i] = newClassQueue(w)
+	}
+	for _, o := range opts {
+		o(a)
+	}
+	return a
+}
+
+// Offer queues a query, or refuses it where its queue is full or its deadline can't be met.
+func (a *Admitter) Offer(now time.Time, t *carobbend.Ticket) {
+	c := a.class(t)
+	q := c.house(t.Query.House, a.share(t.Query.House))
+	switch {
+	case a.waiting >= a.totalQueue:
+		a.refuse(t, RefusedFull)
+	case q.len() >= a.houseQueue:
+		a.refuse(t, RefusedHouseFull)
+	case !t.Query.Deadline.IsZero() && now.Add(a.estimate(c, q, t)).After(t.Query.Deadline):
+		a.refuse(t, RefusedDeadline)
+	default:
+		if c.waiting == 0 {
+			// A class that was idle doesn't claim the capacity that it left unused.
+			c.virtual = max(c.virtual, a.virtual)
+		}
+		c.push(now, q, t)
+		a.waiting++
+	}
+	c.drop(q)
+}
+
+// Next returns the next query to start, or nil where none waits or the limit is reached.
+func (a *Admitter) Next(now time.Time) *carobbend.Ticket {
+	for a.waiting > 0 && a.running < a.limit.now() {
+		c := a.nextClass()
+		e := c.pop()
+		t := e.ticket
+		a.waiting--
+		if a.late(now, e) {
+			a.refuse(t, RefusedDeadline)
+			continue
+		}
+		a.virtual = c.virtual
+		c.virtual += float64(costOf(t)) / c.weight
+		a.running++
+		return t
+	}
+	return nil
+}
+
+// Finished records that a started query ended after the given service time.
+func (a *Admitter) Finished(now time.Time, _ *carobbend.Ticket, service time.Duration) {
+	used := usedRatio*a.running >= a.limit.now()
+	a.running = max(a.running-1, 0)
+	a.limit.finished(now, service, used)
+}
+
+// Congested records that a started query lost shards to sheds or to the deadline; it comes before Finished.
+func (a *Admitter) Congested(now time.Time) { a.limit.decrease(now) }
+
+// Refused returns and clears the tickets refused since the last call.
+func (a *Admitter) Refused() []*carobbend.Ticket {
+	r := a.refused
+	a.refused = nil
+	return r
+}
+
+// Cancel takes a waiting ticket out of its queue and refuses it; false says that it no longer waits.
+func (a *Admitter) Cancel(t *carobbend.Ticket) bool {
+	c := a.class(t)
+	if !c.remove(t) {
+		return false
+	}
+	a.waiting--
+	a.refuse(t, RefusedCanceled)
+	return true
+}
+
+// Running returns the number of started queries that haven't ended, and the limit.
+func (a *Admitter) Running() (n, limit int) { return a.running, a.limit.now() }
+
+// Waiting returns the number of queries that wait.
+func (a *Admitter) Waiting() int { return a.waiting }
+
+func (a *Admitter) class(t *carobbend.Ticket) *classQueue {
+	if i := int(t.Class); i >= 0 && i < classCount {
+		return a.classes[i]
+	}
+	return a.classes[carobbend.ClassOrdinary]
+}
+
+func (a *Admitter) share(house string) int { return max(a.shares(house), 1) }
+
+func (a *Admitter) refuse(t *carobbend.Ticket, detail string) {
+	t.Detail = detail
+	a.refused = append(a.refused, t)
+}
+
+// late reports whether a query that waited would miss its deadline if it started now. One that didn't wait always
+// starts, since otherwise nothing would be learned any more while queries take as long as their deadline allows.
+func (a *Admitter) late(now time.Time, e entry) bool {
+	d := e.ticket.Query.Deadline
+	return !d.IsZero() && now.After(e.offered) && now.Add(a.limit.typical()).After(d)
+}
+
+// nextClass returns the waiting class that had the least service for its weight.
+func (a *Admitter) nextClass() *classQueue {
+	var best *classQueue
+	for _, i := range classOrder {
+		c := a.classes[i]
+		if c.waiting > 0 && (best == nil || c.virtual < best.virtual) {
+			best = c
+		}
+	}
+	return best
+}
+
+// estimate returns the expected time to the answer: the wait behind the house's own queue at the rate that its
+// share of the class and the class's share of the capacity give it, and the typical service time. It is 0 where the
+// query may start at once.
+func (a *Admitter) estimate(c *classQueue, q *houseQueue, t *carobbend.Ticket) time.Duration {
+	if a.waiting == 0 && a.running < a.limit.now() {
+		return 0
+	}
+	service := a.limit.typical()
+	weights := c.weight
+	for _, o := range a.classes {
+		if o != c && o.waiting > 0 {
+			weights += o.weight
+		}
+	}
+	shares := float64(c.shares)
+	if q.len() == 0 {
+		shares += float64(q.share)
+	}
+	// ahead counts the typical queries that run before this one ends, in units of its own cost.
+	ahead := float64(q.cost+costOf(t)) / float64(costOf(t))
+	ahead *= weights / c.weight * shares / float64(q.share)
+	wait := time.Duration(ahead / float64(a.limit.now()) * float64(service))
+	return wait + service
+}
+
+func costOf(t *carobbend.Ticket) int { return max(t.Cost, 1) }
--- /dev/null
+++ b/admitter/concurrency.go
@@ -0,0 +1,101 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// defaultLimit, defaultLeast and defaultMost bound the queries that run at a time.
+	defaultLimit = 16
+	defaultLeast = 2
+	defaultMost  = 256
+	// congestionFactor scales the limit when queries take too long or lose shards.
+	congestionFactor = 0.9
+	// congestedRatio is the recent service time over the baseline that counts as congestion.
+	congestedRatio = 2
+	// recentWeight is the weight of one service time in the recent mean.
+	recentWeight = 0.1
+	// baselineRise is the share of the difference by which the baseline follows a recent mean above it.
+	baselineRise = 0.001
+	// usedRatio is the limit over the running queries up to which the limit counts as used and grows.
+	usedRatio = 2
+	// growth over the limit is what a query that finished while the limit is used adds to it.
+	growth = 0.5
+	// serviceWindow is the number of service times in each of the two histograms of the median.
+	serviceWindow = 256
+	// firstMedian is the service time assumed before any was observed.
+	firstMedian = 10 * time.Millisecond
+	maxService  = time.Minute
+)
+
+// concurrency is the adaptive limit of running queries.
+type concurrency struct {
+	value float64
+	least float64
+	most  float64
+	// recent and baseline are service times in nanoseconds.
+	recent   float64
+	baseline float64
+	median   time.Duration
+	services *hdrhistogram.WindowedHistogram
+	seen     int
+	nextCut  time.Time
+}
+
+func newConcurrency(start, least, most int) concurrency {
+	return concurrency{
+		value: float64(max(start, 1)), least: float64(max(least, 1)), most: float64(max(most, least, 1)),
+		median:   firstMedian,
+		services: hdrhistogram.NewWindowed(2, 1, maxService.Microseconds(), 2),
+	}
+}
+
+func (c *concurrency) now() int { return int(c.value) }
+
+// typical returns the median service time.
+func (c *concurrency) typical() time.Duration { return c.median }
+
+func (c *concurrency) finished(now time.Time, service time.Duration, used bool) {
+	c.learn(service)
+	if c.recent > congestedRatio*c.baseline {
+		c.decrease(now)
+		return
+	}
+	if used {
+		c.value = min(c.value+growth/c.value, c.most)
+	}
+}
+
+func (c *concurrency) learn(service time.Duration) {
+	v := min(max(service.Microseconds(), 1), maxService.Microseconds())
+	if err := c.services.Current.RecordValue(v); err == nil {
+		if c.seen++; c.seen%(serviceWindow/8) == 0 {
+			c.median = time.Duration(c.services.Merge().ValueAtQuantile(50)) * time.Microsecond
+		}
+		if c.seen%serviceWindow == 0 {
+			c.services.Rotate()
+		}
+	}
+	s := float64(service)
+	if c.recent == 0 {
+		c.recent, c.baseline = s, s
+		return
+	}
+	c.recent += recentWeight * (s - c.recent)
+	if c.recent < c.baseline {
+		c.baseline = c.recent
+	} else {
+		c.baseline += baselineRise * (c.recent - c.baseline)
+	}
+}
+
+// decrease scales the limit once per typical service time, so that one congestion isn't counted several times.
+func (c *concurrency) decrease(now time.Time) {
+	if now.Before(c.nextCut) {
+		return
+	}
+	c.nextCut = now.Add(c.median)
+	c.value = max(c.value*congestionFactor, c.least)
+}
--- /dev/null
+++ b/admitter/gate.go
@@ -0,0 +1,111 @@
+package admitter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+// Gate lets goroutines wait for admission. It is safe for concurrent use.
+type Gate struct {
+	mu   sync.Mutex
+	core *Admitter
+}
+
+// NewGate returns a Gate around core, which must not be used directly any more.
+func NewGate(core *Admitter) *Gate { return &Gate{core: core} }
+
+// Enter blocks until the query may start, is refused, its deadline passes or ctx is done. cost is the number of
+// shard requests that the query needs. An empty refusal says that the query may start; release must then be called
+// once with its answer. A refusal is a sentence for Answer.Detail; nothing was sent, so the outcome is not-run.
+func (g *Gate) Enter(
+	ctx context.Context, q carobbend.Query, class carobbend.Class, cost int,
+) (release func(carobbend.Answer), refusal string) {
+	t := &carobbend.Ticket{Query: q, Class: class, Cost: cost, Admitted: make(chan bool, 1)}
+	g.mu.Lock()
+	g.core.Offer(time.Now(), t)
+	g.pumpLocked(time.Now())
+	g.mu.Unlock()
+
+	var due <-chan time.Time
+	if !q.Deadline.IsZero() {
+		timer := time.NewTimer(time.Until(q.Deadline))
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case ok := <-t.Admitted:
+		return g.result(t, ok)
+	case <-ctx.Done():
+	case <-due:
+	}
+	return g.abandon(t)
+}
+
+// Waiting returns the number of queries that wait, that run, and the limit of running ones.
+func (g *Gate) Waiting() (waiting, running, limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running, limit = g.core.Running()
+	return g.core.Waiting(), running, limit
+}
+
+// abandon takes a ticket back that may have been admitted meanwhile.
+func (g *Gate) abandon(t *carobbend.Ticket) (func(carobbend.Answer), string) {
+	g.mu.Lock()
+	if g.core.Cancel(t) {
+		g.pumpLocked(time.Now())
+	}
+	g.mu.Unlock()
+	if ok := <-t.Admitted; ok {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		// It never ran, so it says nothing about service times.
+		g.core.running--
+		g.pumpLocked(time.Now())
+		return nil, RefusedCanceled
+	}
+	return nil, t.Detail
+}
+
+func (g *Gate) result(t *carobbend.Ticket, ok bool) (func(carobbend.Answer), string) {
+	if !ok {
+		return nil, t.Detail
+	}
+	started := time.Now()
+	var once sync.Once
+	return func(a carobbend.Answer) { once.Do(func() { g.finish(t, started, a) }) }, ""
+}
+
+func (g *Gate) finish(t *carobbend.Ticket, started time.Time, a carobbend.Answer) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if congested(a) {
+		g.core.Congested(now)
+	}
+	g.core.Finished(now, t, now.Sub(started))
+	g.pumpLocked(now)
+}
+
+// pumpLocked hands the decisions of the core to the waiting goroutines.
+func (g *Gate) pumpLocked(now time.Time) {
+	for t := g.core.Next(now); t != nil; t = g.core.Next(now) {
+		t.Admitted <- true
+	}
+	for _, t := range g.core.Refused() {
+		t.Admitted <- false
+	}
+}
+
+// congested reports whether an answer lost shards to overload.
+func congested(a carobbend.Answer) bool {
+	for _, m := range a.Missing {
+		if m.Reason == carobbend.MissingRefused || m.Reason == carobbend.MissingDeadline {
+			return true
+		}
+	}
+	return false
+}
