Add the bencher and the bench subcommand

Cause: the policies need open-loop measurements against a naive policy under faults. The deadline is 1 s by default: at 70 ms every policy's p99 would be cut at the deadline.

--- a/cmd/carobbend/bench.go
+++ b/cmd/carobbend/bench.go
@@ -1,8 +1,42 @@
 package main
 
-import "errors"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
-type benchCmd struct{}
+	"carobbend.example/carobbend/bencher"
+)
 
-// Run reports that this subcommand is not available yet.
-func (c *benchCmd) Run() error { return errors.New("bench: not available yet") }
+type benchCmd struct {
+	Scenario   string        `help:"Load and faults: healthy, straggler, lost-replica, repartition, silent, drain, cold-start, lying-load, overload or restart." default:"healthy"`
+	Deployment string        `help:"Upstreams and delays: bajio or jylland." default:"bajio"`
+	Policy     []string      `help:"Policies to alternate: naive or full, followed by +PART or -PART; parts are balance, eject, slow-start, hint, hedge, retry, scarce, limit, low-limit and admit." default:"naive,full"`
+	Duration   time.Duration `help:"Measured time for each policy." default:"10s"`
+	Rounds     int           `help:"Rounds into which the duration is divided; the policies take turns." default:"2"`
+	Load       float64       `help:"Part of the slots in use, from 0 to 3; the scenario overload sets its own." default:"0.6"`
+	Deadline   time.Duration `help:"Time that an answer may take; above the target of 70ms so that it doesn't hide the tail. The scenario overload sets its own." default:"1s"`
+	Seed       uint64        `help:"Seed of arrivals, service times and choices." default:"1"`
+	JSON       string        `name:"json" help:"File to write the report to." type:"path"`
+}
+
+// Run measures the policies and prints a table.
+func (c *benchCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	r, err := bencher.Run(ctx, bencher.Config{
+		Scenario: c.Scenario, Deployment: c.Deployment, Policies: c.Policy, Duration: c.Duration, Rounds: c.Rounds,
+		Load: c.Load, Deadline: c.Deadline, Seed: c.Seed,
+	})
+	if err != nil {
+		return &exitError{code: exitFailure, err: err}
+	}
+	if c.JSON != "" {
+		if err := r.WriteJSON(c.JSON); err != nil {
+			return err
+		}
+	}
+	return r.WriteTable(os.Stdout)
+}
