Add the server and the requester

Cause: callers need a way to ask any instance, and instances need to stop without cutting off a request. The server holds the caller API, the admin API and the staged shutdown; the requester holds addresses, checks replies and repeats what is safe.

http.Server.Shutdown closes idle keep-alive connections at once, so a caller that is just sending on one sees a reset. Replies of the refusing stage end their connection instead, and idle ones are closed only after IdleBound.

Ruled out: Connection: close from the withdrawal on; callers that still hold the address would open a connection for each request until it expires. Ruled out: passing on not-run after an attempt that ended without a reply; it may have run, so the requester reports unknown. Ruled out: an empty address answer where no instance is ready (a long outage of the store); those with rules in force are named then.

--- /dev/null
+++ b/server/address.go
@@ -0,0 +1,87 @@
+package server
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carobbend.example/carobbend"
+)
+
+const (
+	// maxAddresses bounds an address answer; a caller needs a few to retry on.
+	maxAddresses = 8
+	// validityJitter spreads the expiry of answers, so that callers don't ask all at once.
+	validityJitter = 0.2
+	// leastWeight keeps a fully loaded instance in the choice.
+	leastWeight = 0.05
+)
+
+// AddressRequest says who asks for addresses.
+type AddressRequest struct {
+	// Caller is spread over the instances; it includes the process where the caller names one.
+	Caller string
+	// DataCentre is preferred.
+	DataCentre carobbend.DataCentre
+	// Validity is the nominal validity of the answer.
+	Validity time.Duration
+	// Jitter from 0 to 1 places the validity within 20% of the nominal one.
+	Jitter float64
+}
+
+// ChooseAddresses returns the instances that a caller should use, best first: ready and not leaving, the preferred
+// data centre first, and within one in the order of rendezvous hashing weighted by free capacity. Where no instance
+// is ready, for instance in a long outage of the store, those that still have rules in force are named.
+func ChooseAddresses(req AddressRequest, instances []carobbend.Instance) carobbend.Addresses {
+	usable := filter(instances, func(i carobbend.Instance) bool { return i.Ready })
+	if len(usable) == 0 {
+		usable = filter(instances, func(i carobbend.Instance) bool { return i.RulesVersion > 0 })
+	}
+	type ranked struct {
+		address string
+		near    bool
+		score   float64
+	}
+	order := make([]ranked, 0, len(usable))
+	for _, i := range usable {
+		order = append(order, ranked{i.CallerAddress, i.DataCentre == req.DataCentre, rendezvousScore(req.Caller, i)})
+	}
+	sort.SliceStable(order, func(a, b int) bool {
+		if order[a].near != order[b].near {
+			return order[a].near
+		}
+		return order[a].score > order[b].score
+	})
+	n := min(len(order), maxAddresses)
+	out := carobbend.Addresses{Addresses: make([]string, 0, n)}
+	for _, r := range order[:n] {
+		out.Addresses = append(out.Addresses, r.address)
+	}
+	out.ValidFor = time.Duration(float64(req.Validity) * (1 - validityJitter + 2*validityJitter*req.Jitter))
+	return out
+}
+
+func longestValidity(nominal time.Duration) time.Duration {
+	return time.Duration(float64(nominal) * (1 + validityJitter))
+}
+
+func filter(in []carobbend.Instance, ok func(carobbend.Instance) bool) []carobbend.Instance {
+	var out []carobbend.Instance
+	for _, i := range in {
+		if !i.Leaving && i.CallerAddress != "" && ok(i) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// rendezvousScore gives each instance a share of the callers in proportion to its free capacity (weighted rendezvous
+// hashing); a change of one instance moves only the callers that it gains or loses.
+func rendezvousScore(caller string, i carobbend.Instance) float64 {
+	h := xxhash.Sum64String(caller + "\x00" + i.Name)
+	// The upper 53 bits give a uniform number in (0, 1) without rounding to either end.
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return -max(1-i.Load, leastWeight) / math.Log(u)
+}
--- /dev/null
+++ b/server/admin.go
@@ -0,0 +1,89 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"carobbend.example/carobbend"
+)
+
+// RulesVersionReply is the body of GET /v1/rules/version.
+type RulesVersionReply struct {
+	Instance     string `json:"instance"`
+	RulesVersion uint64 `json:"rules-version"`
+	Ready        bool   `json:"ready"`
+}
+
+// StatusReply is the body of GET /v1/status and of POST /v1/drain.
+type StatusReply struct {
+	Instance    carobbend.Instance `json:"instance"`
+	Stage       string             `json:"stage"`
+	Ready       bool               `json:"ready"`
+	InFlight    int                `json:"in-flight"`
+	Connections int                `json:"connections"`
+	// UptimeSeconds counts from the start of the instance.
+	UptimeSeconds float64 `json:"uptime-seconds"`
+	RulesVersion  uint64  `json:"rules-version"`
+	// Details holds what the parts of the instance add.
+	Details map[string]any `json:"details,omitempty"`
+}
+
+func (s *Server) adminRoutes() http.Handler {
+	e := newEcho()
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", s.getReady)
+	if s.cfg.Metrics != nil {
+		e.GET("/metrics", echo.WrapHandler(s.cfg.Metrics))
+	}
+	g := e.Group("/v1", s.authenticateAdmin)
+	g.GET("/rules/version", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, RulesVersionReply{s.cfg.Members.Self().Name, s.cfg.Rules.Rules().Version(), s.Ready()})
+	})
+	g.GET("/members", func(c echo.Context) error { return c.JSON(http.StatusOK, s.cfg.Members.Live()) })
+	g.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Status()) })
+	g.POST("/drain", func(c echo.Context) error {
+		s.log.Info("drain requested by the admin API")
+		s.Drain()
+		return c.JSON(http.StatusAccepted, s.Status())
+	})
+	return e
+}
+
+func (s *Server) authenticateAdmin(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if _, err := s.admin.find(c.Request()); err != nil {
+			return echo.NewHTTPError(http.StatusUnauthorized, "expected the header Authorization: Bearer TOKEN with the admin token")
+		}
+		return next(c)
+	}
+}
+
+func (s *Server) getReady(c echo.Context) error {
+	if !s.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready: "+s.Stage().String()+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// Ready reports whether this instance may be named to callers.
+func (s *Server) Ready() bool {
+	if s.Stage() != StageServing || s.cfg.Rules.Rules().Version() == 0 {
+		return false
+	}
+	return s.cfg.Ready == nil || s.cfg.Ready()
+}
+
+// Status returns what the admin API reports.
+func (s *Server) Status() StatusReply {
+	n, _ := s.conns.open()
+	r := StatusReply{
+		Instance: s.cfg.Members.Self(), Stage: s.Stage().String(), Ready: s.Ready(), InFlight: s.InFlight(), Connections: n,
+		UptimeSeconds: time.Since(s.started).Seconds(), RulesVersion: s.cfg.Rules.Rules().Version(),
+	}
+	if s.cfg.Status != nil {
+		r.Details = s.cfg.Status()
+	}
+	return r
+}
--- /dev/null
+++ b/server/callers.go
@@ -0,0 +1,341 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/ulid/v2"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/asserter"
+)
+
+const (
+	// maxQueryBytes and maxOperationBytes bound request bodies.
+	maxQueryBytes     = 64 << 10
+	maxOperationBytes = 1 << 20
+	// maxLimit bounds the number of items of an answer.
+	maxLimit = 1000
+	// defaultOperationDeadline applies where an operation names none.
+	defaultOperationDeadline = 5 * time.Second
+	// maxDeadline bounds the deadlines that callers name.
+	maxDeadline = time.Minute
+
+	identityKey = "identity"
+)
+
+func (s *Server) callerRoutes() http.Handler {
+	e := newEcho()
+	e.Use(s.countInFlight, s.endConnections, s.repeatRequestID, s.authenticate)
+	e.POST(carobbend.PathQuery, s.postQuery)
+	e.POST(carobbend.PathOperations, s.postOperation)
+	e.GET(carobbend.PathOperations+"/:key", s.getOperation)
+	e.GET(carobbend.PathAddresses, s.getAddresses)
+	return e
+}
+
+// countInFlight counts a request before the stage is read, so that the refusing stage waits for all accepted work.
+func (s *Server) countInFlight(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		return next(c)
+	}
+}
+
+// endConnections marks replies of the refusing stage, so that each connection ends after a reply and never while its
+// caller may be sending.
+func (s *Server) endConnections(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			if s.Stage() >= StageRefusing {
+				c.Response().Header().Set("Connection", "close")
+			}
+		})
+		return next(c)
+	}
+}
+
+func (s *Server) repeatRequestID(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		id := c.Request().Header.Get(carobbend.HeaderRequestID)
+		if len(id) > carobbend.MaxRequestID || strings.ContainsFunc(id, func(r rune) bool { return r < ' ' || r > '~' }) {
+			return badRequest("%s: expected at most %d printable ASCII characters", carobbend.HeaderRequestID, carobbend.MaxRequestID)
+		}
+		c.Response().Header().Set(carobbend.HeaderRequestID, id)
+		return next(c)
+	}
+}
+
+func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		id, err := s.callers.find(c.Request())
+		if err != nil {
+			return echo.NewHTTPError(http.StatusUnauthorized, err.Error())
+		}
+		c.Set(identityKey, id)
+		return next(c)
+	}
+}
+
+func identityOf(c echo.Context) Identity {
+	id, ok := c.Get(identityKey).(Identity)
+	asserter.Check(ok, asserter.Identity, "path", c.Path())
+	return id
+}
+
+func requestID(c echo.Context) string { return c.Response().Header().Get(carobbend.HeaderRequestID) }
+
+func badRequest(format string, args ...any) error {
+	return echo.NewHTTPError(http.StatusBadRequest, fmt.Sprintf(format, args...))
+}
+
+// replyError writes the body of a reply that has no outcome.
+func replyError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	code, text := http.StatusInternalServerError, "internal error"
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		code, text = he.Code, fmt.Sprint(he.Message)
+	}
+	// A failed write means that the caller is gone.
+	_ = c.JSON(code, carobbend.ErrorReply{Error: text, RequestID: requestID(c)})
+}
+
+// decode reads one JSON object of at most limit bytes; unknown keys and trailing data are refused.
+func decode(c echo.Context, limit int64, v any) error {
+	d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil {
+		if _, err = d.Token(); errors.Is(err, io.EOF) {
+			return nil
+		}
+		err = errors.New("data after the JSON object")
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, fmt.Sprintf("body: expected at most %d bytes", limit))
+	}
+	return badRequest("body: %v", err)
+}
+
+func deadlineOf(ms float64) (time.Duration, error) {
+	d := time.Duration(ms * float64(time.Millisecond))
+	if ms < 0 || ms > float64(maxDeadline/time.Millisecond) {
+		return 0, badRequest("deadline-ms: expected 0 to %d, got %v", maxDeadline/time.Millisecond, ms)
+	}
+	return d, nil
+}
+
+func (s *Server) postQuery(c echo.Context) error {
+	arrived := time.Now()
+	var req carobbend.QueryRequest
+	if err := decode(c, maxQueryBytes, &req); err != nil {
+		return err
+	}
+	if !s.indexes[req.Index] {
+		return badRequest("index: %q is not in the settings", req.Index)
+	}
+	if req.Limit < 0 || req.Limit > maxLimit {
+		return badRequest("limit: expected 0 to %d, got %d", maxLimit, req.Limit)
+	}
+	limit, err := deadlineOf(req.DeadlineMs)
+	if err != nil {
+		return err
+	}
+	rules, id := s.cfg.Rules.Rules(), identityOf(c)
+	if d := rules.Deadline(req.Index); limit == 0 || d < limit {
+		limit = d
+	}
+	q := carobbend.Query{
+		ID: ulid.Make().String(), Index: req.Index, Text: req.Text, Limit: req.Limit,
+		Caller: id.Name, House: id.House, Arrived: arrived, Deadline: arrived.Add(limit),
+	}
+	if q.Limit == 0 {
+		q.Limit = carobbend.DefaultLimit
+	}
+	a, reason := s.runQuery(c.Request().Context(), q, rules)
+	if s.cfg.Recorder != nil {
+		s.cfg.Recorder.Query(a, time.Since(arrived))
+		if reason != "" {
+			s.cfg.Recorder.NotRun(reason)
+		}
+	}
+	reply := carobbend.QueryReply{Answer: a, RequestID: requestID(c), ItemCount: len(a.Items)}
+	if a.Outcome == carobbend.OutcomeNotRun {
+		reply.OtherAddresses = s.otherAddresses(c)
+	}
+	return c.JSON(statusOf(a.Outcome, false), reply)
+}
+
+// runQuery returns the answer, and the reason if the query was refused.
+func (s *Server) runQuery(ctx context.Context, q carobbend.Query, rules carobbend.Rules) (carobbend.Answer, Reason) {
+	refuse := func(reason Reason, detail string) (carobbend.Answer, Reason) {
+		return carobbend.Answer{
+			QueryID: q.ID, Index: q.Index, Outcome: carobbend.OutcomeNotRun, Items: []carobbend.Item{},
+			RulesVersion: rules.Version(), Detail: detail,
+		}, reason
+	}
+	if reason, detail := s.refusal(rules); reason != "" {
+		return refuse(reason, detail)
+	}
+	cost := 1
+	if s.cfg.Shards != nil {
+		cost = max(s.cfg.Shards(q.Index), 1)
+	}
+	t := &carobbend.Ticket{Query: q, Class: rules.Class(q.Caller, q.Index), Cost: cost, Admitted: make(chan bool, 1)}
+	if err := s.cfg.Gate.Admit(ctx, t); err != nil {
+		return refuse(ReasonAdmission, err.Error())
+	}
+	start := time.Now()
+	defer func() { s.cfg.Gate.Done(t, time.Since(start)) }()
+	a := s.cfg.Queries.Run(ctx, q)
+	asserter.Check(a.QueryID == q.ID && a.Index == q.Index, asserter.Identity, "query", q.ID, "answer", a.QueryID)
+	asserter.Check(a.Covered <= a.Total && a.Covered >= 0, asserter.Coverage, "query", q.ID, "covered", a.Covered, "total", a.Total)
+	if a.Items == nil {
+		a.Items = []carobbend.Item{}
+	}
+	if a.Outcome == carobbend.OutcomeNotRun {
+		return a, ReasonRunner
+	}
+	return a, ""
+}
+
+// refusal says why no new work is accepted now; an empty reason accepts it.
+func (s *Server) refusal(rules carobbend.Rules) (Reason, string) {
+	if s.Stage() >= StageRefusing {
+		return ReasonDraining, "this instance is shutting down"
+	}
+	if rules.Version() == 0 {
+		return ReasonNotReady, "this instance has no rules in force yet"
+	}
+	return "", ""
+}
+
+// statusOf maps an outcome to its HTTP status.
+func statusOf(o carobbend.Outcome, conflict bool) int {
+	switch {
+	case conflict:
+		return http.StatusConflict
+	case o == carobbend.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusOK
+	}
+}
+
+func (s *Server) postOperation(c echo.Context) error {
+	arrived := time.Now()
+	var req carobbend.OperationRequest
+	if err := decode(c, maxOperationBytes, &req); err != nil {
+		return err
+	}
+	if !s.operations[req.Operation] {
+		return badRequest("operation: %q is not in the settings", req.Operation)
+	}
+	if err := checkKey(req.Key); err != nil {
+		return err
+	}
+	limit, err := deadlineOf(req.DeadlineMs)
+	if err != nil {
+		return err
+	}
+	if limit == 0 {
+		limit = defaultOperationDeadline
+	}
+	id := identityOf(c)
+	op := carobbend.Operation{
+		Key: req.Key, Name: req.Operation, Caller: id.Name, House: id.House, Body: req.Body, Deadline: arrived.Add(limit),
+	}
+	r := s.runOperation(c.Request().Context(), op)
+	if s.cfg.Recorder != nil {
+		s.cfg.Recorder.Operation(op.Name, r, time.Since(arrived))
+	}
+	return s.replyOperation(c, r)
+}
+
+func (s *Server) runOperation(ctx context.Context, op carobbend.Operation) carobbend.OperationResult {
+	if reason, detail := s.refusal(s.cfg.Rules.Rules()); reason != "" {
+		if s.cfg.Recorder != nil {
+			s.cfg.Recorder.NotRun(reason)
+		}
+		return carobbend.OperationResult{Key: op.Key, Outcome: carobbend.OutcomeNotRun, Detail: detail}
+	}
+	// A started operation goes on to its deadline when its caller hangs up, so that its result is kept for the key.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), op.Deadline)
+	defer cancel()
+	return s.cfg.Operations.Run(ctx, op)
+}
+
+func (s *Server) getOperation(c echo.Context) error {
+	if err := checkKey(c.Param("key")); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), defaultOperationDeadline)
+	defer cancel()
+	return s.replyOperation(c, s.cfg.Operations.Status(ctx, c.Param("key")))
+}
+
+func (s *Server) replyOperation(c echo.Context, r carobbend.OperationResult) error {
+	reply := carobbend.OperationReply{OperationResult: r, RequestID: requestID(c)}
+	if r.Outcome == carobbend.OutcomeNotRun {
+		reply.OtherAddresses = s.otherAddresses(c)
+	}
+	return c.JSON(statusOf(r.Outcome, r.Conflict), reply)
+}
+
+func checkKey(key string) error {
+	if _, err := ulid.ParseStrict(key); err != nil {
+		return badRequest("key: expected a ULID (26 characters), got %q", key)
+	}
+	return nil
+}
+
+func (s *Server) getAddresses(c echo.Context) error {
+	return c.JSON(http.StatusOK, carobbend.AddressesReply{Addresses: s.addresses(c), RequestID: requestID(c)})
+}
+
+// addresses answers for the caller; the parameter client tells several processes of one caller apart, and data-centre
+// names the one to prefer instead of this instance's.
+func (s *Server) addresses(c echo.Context) carobbend.Addresses {
+	self := s.cfg.Members.Self()
+	req := AddressRequest{
+		Caller: identityOf(c).Name, DataCentre: self.DataCentre, Validity: s.cfg.Drain.AddressValidity, Jitter: rand.Float64(),
+	}
+	if client := c.QueryParam("client"); client != "" {
+		req.Caller += "/" + client
+	}
+	if dc := c.QueryParam("data-centre"); dc != "" {
+		req.DataCentre = carobbend.DataCentre(dc)
+	}
+	live := slices.Clone(s.cfg.Members.Live())
+	for i := range live {
+		if live[i].Name == self.Name && s.Stage() > StageServing {
+			live[i].Leaving = true
+		}
+	}
+	return ChooseAddresses(req, live)
+}
+
+func (s *Server) otherAddresses(c echo.Context) []string {
+	own := s.cfg.Members.Self().CallerAddress
+	var out []string
+	for _, a := range s.addresses(c).Addresses {
+		if a != own {
+			out = append(out, a)
+		}
+	}
+	return out
+}
