--- a/cmd/carobbend/addresses.go
+++ b/cmd/carobbend/addresses.go
@@ -1,8 +1,27 @@
 package main
 
-import "errors"
+import (
+	"context"
+	"fmt"
 
-type addressesCmd struct{}
+	"carobbend.example/carobbend/requester"
+)
 
-// Run reports that this subcommand is not available yet.
-func (c *addressesCmd) Run() error { return errors.New("addresses: not available yet") }
+type addressesCmd struct {
+	callerFlags
+}
+
+// Run prints one address a line, best first, and how long they may be kept.
+func (c *addressesCmd) Run() error {
+	return c.call(func(ctx context.Context, r *requester.Requester) error {
+		a, err := r.Addresses(ctx)
+		if err != nil {
+			return callerError(err)
+		}
+		for _, s := range a.Addresses {
+			fmt.Println(s)
+		}
+		fmt.Printf("valid for %v\n", a.ValidFor)
+		return nil
+	})
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -170,7 +170,7 @@
 	if s.cfg.Recorder != nil {
 		s.cfg.Recorder.Query(a, time.Since(arrived))
 		if reason != "" {
-			s.cfg.Recorder.NotRun(reason)
+			s.cfg.Recorder.NotRun(string(reason))
 		}
 	}
 	reply := carobbend.QueryReply{Answer: a, RequestID: requestID(c), ItemCount: len(a.Items)}
@@ -195,13 +195,13 @@
 	if s.cfg.Shards != nil {
 		cost = max(s.cfg.Shards(q.Index), 1)
 	}
-	t := &carobbend.Ticket{Query: q, Class: rules.Class(q.Caller, q.Index), Cost: cost, Admitted: make(chan bool, 1)}
-	if err := s.cfg.Gate.Admit(ctx, t); err != nil {
-		return refuse(ReasonAdmission, err.Error())
+	release, detail := s.cfg.Gate.Enter(ctx, q, rules.Class(q.Caller, q.Index), cost)
+	if detail != "" {
+		return refuse(ReasonAdmission, detail)
 	}
-	start := time.Now()
-	defer func() { s.cfg.Gate.Done(t, time.Since(start)) }()
-	a := s.cfg.Queries.Run(ctx, q)
+	var a carobbend.Answer
+	defer func() { release(a) }()
+	a = s.cfg.Queries.Run(ctx, q)
 	asserter.Check(a.QueryID == q.ID && a.Index == q.Index, asserter.Identity, "query", q.ID, "answer", a.QueryID)
 	asserter.Check(a.Covered <= a.Total && a.Covered >= 0, asserter.Coverage, "query", q.ID, "covered", a.Covered, "total", a.Total)
 	if a.Items == nil {
@@ -269,7 +269,7 @@
 func (s *Server) runOperation(ctx context.Context, op carobbend.Operation) carobbend.OperationResult {
 	if reason, detail := s.refusal(s.cfg.Rules.Rules()); reason != "" {
 		if s.cfg.Recorder != nil {
-			s.cfg.Recorder.NotRun(reason)
+			s.cfg.Recorder.NotRun(string(reason))
 		}
 		return carobbend.OperationResult{Key: op.Key, Outcome: carobbend.OutcomeNotRun, Detail: detail}
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -20,11 +20,9 @@
 
 // Gate admits queries before they run.
 type Gate interface {
-	// Admit blocks until t may start and returns nil, or returns an error that says why it was refused. Done must be
-	// called at the end of an admitted query.
-	Admit(ctx context.Context, t *carobbend.Ticket) error
-	// Done records the end of an admitted query.
-	Done(t *carobbend.Ticket, service time.Duration)
+	// Enter blocks until the query may start and returns a function to call once with its answer, or returns a sentence
+	// that says why it was refused. cost is the number of shard requests that the query needs.
+	Enter(ctx context.Context, q carobbend.Query, class carobbend.Class, cost int) (release func(carobbend.Answer), refusal string)
 }
 
 // Recorder counts what callers were answered. Its methods are called for each request.
@@ -34,7 +32,7 @@
 	// Operation records a result and the time since its arrival.
 	Operation(name string, r carobbend.OperationResult, latency time.Duration)
 	// NotRun records why a request was refused.
-	NotRun(reason Reason)
+	NotRun(reason string)
 }
 
 // Reason says why a request was refused as not-run.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -52,13 +51,12 @@
 
 type fakeGate struct{}
 
-func (fakeGate) Admit(_ context.Context, t *carobbend.Ticket) error {
-	if t.Query.House == "crowded" {
-		return errors.New("the queue is full")
+func (fakeGate) Enter(_ context.Context, q carobbend.Query, _ carobbend.Class, _ int) (func(carobbend.Answer), string) {
+	if q.House == "crowded" {
+		return nil, "the queue is full"
 	}
-	return nil
+	return func(carobbend.Answer) {}, ""
 }
-func (fakeGate) Done(*carobbend.Ticket, time.Duration) {}
 
 func newTestServer(t *testing.T) (*Server, *fakeRunner) {
 	t.Helper()
