--- a/cmd/carobbend/emulate.go
+++ b/cmd/carobbend/emulate.go
@@ -23,14 +23,14 @@
 	Upstreams emulateUpstreamsCmd `cmd:"" help:"Run the upstreams of an index or operation in one process."`
 }
 
-// storeFlags configure the store.
-type storeFlags struct {
+// emulatedStoreFlags configure the store.
+type emulatedStoreFlags struct {
 	Reads  float64       `help:"Reads a second that the store accepts; 0 means no limit." default:"2000"`
 	Writes float64       `help:"Writes a second that the store accepts; 0 means no limit." default:"400"`
 	Delay  time.Duration `help:"Delay of each call." default:"2ms"`
 }
 
-func (f storeFlags) store() *emulator.Store {
+func (f emulatedStoreFlags) store() *emulator.Store {
 	opts := []emulator.StoreOption{emulator.WithDelay(f.Delay)}
 	if f.Reads > 0 && f.Writes > 0 {
 		opts = append(opts, emulator.WithRates(f.Reads, f.Writes))
@@ -57,7 +57,7 @@
 
 type emulateStoreCmd struct {
 	Listen string `help:"Address to listen on; port 0 takes a free one." default:"127.0.0.1:8500"`
-	storeFlags
+	emulatedStoreFlags
 }
 
 // Help documents the control endpoint.
@@ -82,7 +82,7 @@
 
 type emulatePlatformCmd struct {
 	Listen string `help:"Address to listen on; port 0 takes a free one." default:"127.0.0.1:8500"`
-	storeFlags
+	emulatedStoreFlags
 	listFlags
 }
 
