Name the sender to peer handlers and bound reads of the instance list

Cause: handlers were told the socket address of a peer, so a distributor that was notified of a new version couldn't ask the sender back; versions then spread by the slower random questions alone. Separately, each instance read the whole list each second: at 1,100 instances 1,100 reads of some 165 KB a second.

Ruled out: looking the name up by address; peers dial from ephemeral ports.

Result: TestHandlersAreToldTheInstance got 127.0.0.1:43016 before and the instance's name after. All instances together read the list at most 16 times a second; a changed rules version is no longer passed on for other instances.

--- a/linker/link.go
+++ b/linker/link.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
-	"google.golang.org/protobuf/proto"
 
 	"carobbend.example/carobbend/encoder"
 )
@@ -42,6 +41,7 @@
 type link struct {
 	mu      sync.Mutex
 	address string
+	bytes   *atomic.Int64
 	session *yamux.Session
 	used    atomic.Int64
 	replied atomic.Int64
@@ -58,7 +58,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s, err := yamux.Client(nc, yamuxConfig())
+		s, err := yamux.Client(countedConn{Conn: nc, n: l.bytes}, yamuxConfig())
 		if err != nil {
 			return nil, errors.Join(err, nc.Close())
 		}
@@ -85,7 +85,8 @@
 		return nil, &Error{Op: "ask", Peer: name, Kind: KindUnknownPeer, Err: errNoAddress}
 	}
 	begin := k.now()
-	reply, err := l.ask(ctx, begin, req)
+	// The caller may send one frame to several peers at a time, so the sender's name goes into a copy.
+	reply, err := l.ask(ctx, begin, &encoder.Frame{From: k.self, Body: req.GetBody()})
 	now := k.now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -98,7 +99,6 @@
 	}
 	l.replied.Store(now.UnixNano())
 	k.view.askSucceeded(now, name)
-	k.bytes += int64(proto.Size(req) + proto.Size(reply))
 	if reply.GetBody() == nil {
 		return nil, &Error{Op: "ask", Peer: name, Kind: KindRefused, Err: errNoHandler}
 	}
@@ -132,7 +132,7 @@
 		if ok {
 			go l.close()
 		}
-		l = &link{address: x.instance.PeerAddress}
+		l = &link{address: x.instance.PeerAddress, bytes: &k.bytes}
 		k.links[name] = l
 	}
 	return l, true
@@ -171,7 +171,7 @@
 			}
 			return &Error{Op: "accept", Peer: ln.Addr().String(), Kind: KindLink, Err: err}
 		}
-		s, err := yamux.Server(nc, yamuxConfig())
+		s, err := yamux.Server(countedConn{Conn: nc, n: &k.bytes}, yamuxConfig())
 		if err != nil {
 			_ = nc.Close()
 			continue
@@ -203,14 +203,14 @@
 	if err != nil {
 		return
 	}
-	reply := k.handle(ctx, s.RemoteAddr().String(), req)
+	reply := k.handle(ctx, req)
 	if err := encoder.WriteFrame(s, reply); err != nil {
 		k.log.Error(err, "reply to peer not written", "peer", s.RemoteAddr())
 	}
 }
 
 // handle answers a request; an empty frame says that no handler knows it.
-func (k *Linker) handle(ctx context.Context, from string, req *encoder.Frame) *encoder.Frame {
+func (k *Linker) handle(ctx context.Context, req *encoder.Frame) *encoder.Frame {
 	switch body := req.GetBody().(type) {
 	case *encoder.Frame_Notice:
 		k.learn(body.Notice)
@@ -219,9 +219,29 @@
 		return &encoder.Frame{Body: &encoder.Frame_Pong{Pong: &encoder.Pong{N: body.Ping.GetN()}}}
 	}
 	for _, h := range k.handlers {
-		if reply := h.HandlePeer(ctx, from, req); reply != nil {
+		if reply := h.HandlePeer(ctx, req.GetFrom(), req); reply != nil {
 			return reply
 		}
 	}
 	return &encoder.Frame{}
 }
+
+// countedConn counts the bytes of a link in both directions.
+type countedConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -75,6 +76,7 @@
 
 // Linker implements carobbend.Peers. Create it with New.
 type Linker struct {
+	self     string
 	list     List
 	handlers []carobbend.PeerHandler
 	observe  func(*carobbend.Instance)
@@ -85,7 +87,7 @@
 	mu    sync.Mutex
 	view  *membership
 	links map[string]*link
-	bytes int64
+	bytes atomic.Int64
 }
 
 // Option configures a Linker.
@@ -110,6 +112,7 @@
 // New returns a linker for the instance self, whose incarnation must be set.
 func New(self carobbend.Instance, opts ...Option) *Linker {
 	k := &Linker{
+		self:    self.Name,
 		observe: func(*carobbend.Instance) {}, onChange: func([]carobbend.Instance) {},
 		now: time.Now, log: logger.New("linker"), view: newMembership(self), links: map[string]*link{},
 	}
@@ -143,12 +146,8 @@
 	return k.view.preferred(k.now(), key, n)
 }
 
-// ControlBytes returns the bytes of frames sent and received so far.
-func (k *Linker) ControlBytes() int64 {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.bytes
-}
+// Bytes returns the bytes sent and received over all links so far.
+func (k *Linker) Bytes() int64 { return k.bytes.Load() }
 
 // SetLeaving changes this instance's own state and tells all live peers at once.
 func (k *Linker) SetLeaving(ctx context.Context, leaving bool) {
@@ -203,7 +202,10 @@
 }
 
 func (k *Linker) readList(ctx context.Context) {
-	if k.list == nil {
+	k.mu.Lock()
+	due := k.list != nil && k.view.listDue(k.now())
+	k.mu.Unlock()
+	if !due {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, interval)
@@ -225,7 +227,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, p := range peers {
-		if p.Name == k.Self().Name {
+		if p.Name == k.self {
 			continue
 		}
 		wg.Go(func() {
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -96,3 +96,27 @@
 		t.Error("request without a handler: got a reply, want an error")
 	}
 }
+
+type recorder struct{ from chan string }
+
+// HandlePeer implements carobbend.PeerHandler.
+func (r recorder) HandlePeer(_ context.Context, from string, _ *encoder.Frame) *encoder.Frame {
+	r.from <- from
+	return &encoder.Frame{Body: &encoder.Frame_RulesReply{RulesReply: &encoder.RulesReply{}}}
+}
+
+// Guards against handlers that are told the sender's socket address, under which they can't ask it back.
+func TestHandlersAreToldTheInstance(t *testing.T) {
+	r := recorder{from: make(chan string, 1)}
+	a, _ := start(t, "a", WithHandlers(r))
+	b, _ := start(t, "b", WithList(func(context.Context) ([]carobbend.Instance, error) {
+		return []carobbend.Instance{a.Self()}, nil
+	}))
+	b.readList(t.Context())
+	if _, err := b.Ask(t.Context(), "a", &encoder.Frame{Body: &encoder.Frame_RulesRequest{RulesRequest: &encoder.RulesRequest{}}}); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := <-r.from, "b"; got != want {
+		t.Errorf("sender: got %q, want %q", got, want)
+	}
+}
--- a/linker/membership.go
+++ b/linker/membership.go
@@ -15,8 +15,12 @@
 	// noticeBound is how long an instance that the list doesn't show counts as live after its last notice. It
 	// covers the lag of the list for an instance that has just started.
 	noticeBound = 10 * time.Second
-	// listBound is how long a list that can't be read anymore still counts.
-	listBound = 30 * time.Second
+	// listBound and listBoundReads say how long a list that can't be read anymore still counts.
+	listBound      = 30 * time.Second
+	listBoundReads = 3
+	// listReadsPerSecond bounds the reads of the list by all instances together; each one reads less often the
+	// more there are, since the list grows with them too.
+	listReadsPerSecond = 16
 	// unreachableAfter is the number of failed requests in a row after which a peer is no longer preferred.
 	unreachableAfter = 2
 	// unreachableBound is how long such a peer isn't preferred without another failure.
@@ -112,12 +116,23 @@
 	}
 }
 
-// differs ignores the load, which changes all the time and isn't passed on.
+// differs ignores what isn't passed on: the load changes all the time, and the rules version on all instances at a
+// time.
 func differs(a, b carobbend.Instance) bool {
-	a.Load, b.Load, a.Sequence, b.Sequence = 0, 0, 0, 0
+	a.Load, b.Load, a.Sequence, b.Sequence, a.RulesVersion, b.RulesVersion = 0, 0, 0, 0, 0, 0
 	return a != b
 }
 
+// listInterval is the time between two reads of the list by this instance.
+func (m *membership) listInterval() time.Duration {
+	return max(interval, time.Duration(len(m.members)+1)*time.Second/listReadsPerSecond)
+}
+
+// listDue reports whether the list should be read now; the first read is due at once.
+func (m *membership) listDue(now time.Time) bool {
+	return m.listed.IsZero() || now.Sub(m.listed) >= m.listInterval()-interval/2
+}
+
 // askFailed and askSucceeded record the result of a request to a peer.
 func (m *membership) askFailed(now time.Time, name string) {
 	if x, ok := m.members[name]; ok {
@@ -151,7 +166,7 @@
 
 // live reports whether the list or a recent notice shows the instance.
 func (m *membership) live(now time.Time, x *member) bool {
-	if x.listed && now.Sub(m.listed) <= listBound {
+	if x.listed && now.Sub(m.listed) <= max(listBound, listBoundReads*m.listInterval()) {
 		return true
 	}
 	return !x.noticed.IsZero() && now.Sub(x.noticed) <= noticeBound
--- a/linker/membership_test.go
+++ b/linker/membership_test.go
@@ -113,3 +113,20 @@
 		}
 	}
 }
+
+// Guards against a fleet whose reads of the list grow with the square of its size.
+func TestListReadsStayBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMembership(instance("self", "1", 1))
+	list := make([]carobbend.Instance, 0, 1100)
+	for i := range 1100 {
+		list = append(list, instance(fmt.Sprint("i", i), "1", 0))
+	}
+	m.listRead(now, list)
+	if got, want := float64(len(list))/m.listInterval().Seconds(), float64(listReadsPerSecond); got > want {
+		t.Errorf("reads a second by all instances: got %.1f, want at most %.0f", got, want)
+	}
+	if got := len(m.instances(now.Add(m.listInterval()), false)); got != len(list)+1 {
+		t.Errorf("instances before the next read: got %d, want %d", got, len(list)+1)
+	}
+}
