--- a/cmd/carobbend/rules_test.go
+++ b/cmd/carobbend/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -141,8 +142,41 @@
 			write(text)
 		}
 		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
 		if want := "[a bbb]"; fmt.Sprint(got) != want {
 			t.Errorf("applied: got %v, want %s", got, want)
 		}
 	})
 }
+
+// Guards against a watched file whose second save is refused because its version line is the one from before the
+// first, and against a conflict with another operator that the second save overwrites.
+func TestSavesOfAWatchedFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "x.rules")
+	store, out := emulator.NewStore(), &strings.Builder{}
+	cmd := &rulesApplyCmd{File: file, Who: "mette"}
+	a := &applier{cmd: cmd, store: store, fleet: &fleet{flags: &cmd.instanceFlags}, out: &printer{w: out}}
+	other := &applier{cmd: cmd, store: store, fleet: a.fleet, out: a.out}
+	for i, step := range []struct {
+		by   *applier
+		text string
+		code int
+	}{
+		{a, "version 0\nshare leon 1 # x", 0},
+		{a, "version 0\nshare leon 2 # x", 0},
+		{other, "version 2\nshare leon 3 # x", 0},
+		{a, "version 0\nshare leon 4 # x", exitFailure},
+		{a, "version 3\nshare leon 4 # x", 0},
+		{a, "version 3\nshare leon 0 # x", exitUsage},
+		{a, "version 3\nshare leon 5 # x", 0},
+	} {
+		if err := os.WriteFile(file, []byte(step.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var e *exitError
+		if err := step.by.applyFile(t.Context()); (err != nil) != (step.code != 0) || (errors.As(err, &e) && e.code != step.code) {
+			t.Errorf("save %d: got %v, want exit code %d\n%s", i, err, step.code, out)
+		}
+	}
+}
