Count instances with a later version apart

Cause: rules apply and rules status counted an instance with a higher version as one on which the given version is in force. After a lost store value, or another operator's later apply, that is not true.

Ruled out: treating a later version as a failure; it is the usual result of a second operator's apply.

Result: TestRulesCommands shows 1 of 2 and 1 with a later version, and fails when later ones count.

--- a/cmd/carobbend/rules_status.go
+++ b/cmd/carobbend/rules_status.go
@@ -192,8 +192,17 @@
 	if err != nil {
 		return &exitError{exitPartial, fmt.Errorf("version %d was accepted, but the instances are not known: %w", version, err)}
 	}
+	later := 0
+	for _, s := range all {
+		if s.err == nil && s.RulesVersion > version {
+			later++
+		}
+	}
 	out.printf("version %d is in force on %d of %d live instances after %v\n",
-		version, len(all)-len(behind), len(all), took.Round(time.Millisecond))
+		version, len(all)-len(behind)-later, len(all), took.Round(time.Millisecond))
+	if later > 0 {
+		out.printf("%d instances have a later version\n", later)
+	}
 	if len(behind) == 0 {
 		return out.err
 	}
--- a/cmd/carobbend/rules_test.go
+++ b/cmd/carobbend/rules_test.go
@@ -83,6 +83,7 @@
 		{"show", "", "show STORE", nil, 0, []string{"version 2\nshare leon 2 # Ana\n"}},
 		{"log", "", "log STORE", nil, 0, []string{"version 1 from 0", "version 2 from 1", "- at-most-once book-crew # Mette"}},
 		{"status", "", "status STORE", nil, 0, []string{"store: version 2", "i0 at", "2 of 2"}},
+		{"later version", "", "status STORE", func() { versions[0] = 7 }, 0, []string{"on 1 of 2", "1 instances have a later version"}},
 		{"other change", "", "status STORE --change 2/01JX", nil, 1, []string{"not accepted", "by mette"}},
 		{"later change", "", "status STORE --change 3/01JX", nil, 4, []string{"may still arrive"}},
 		{"bad change", "", "status STORE --change 3", nil, 2, []string{"expected VERSION/ID"}},
