Delay ends of operations and pace swaps

Cause: one write for the claim and one for its end limited the tier to about 200 operations a second, and claims beyond that were refused at once.

Change: a finish or release waits up to 1 s for a claim of its partition and shares its swap. The delay is in proportion to the write rate, so that results are recorded at once while the store has room; a claim, also a replay, ends it. Once the store refused a call for its rate, swaps of all partitions are spaced and claims wait up to 200 ms for their turn; groups grow meanwhile.

Ruled out: fewer partitions. 16 give 1.02 writes for each operation at 300/s, but keep a sixteenth of the keys or need values too large to write each time. Retries of refused calls without pacing: 1100 writes for 50 claims (TestPatience).

Without routing the delay costs writes, since others change the partition meanwhile.

Shown by removal: the delay, its end by a claim (TestRecordDelay), the pacing (TestPatience).

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -21,9 +21,17 @@
 	DefaultStoreTimeout = 2 * time.Second
 	// DefaultPeerTimeout bounds the wait for the preferred instance before this instance commits by itself.
 	DefaultPeerTimeout = 500 * time.Millisecond
+	// DefaultRecordDelay is the longest time that a finish or release waits to share the swap of a claim.
+	DefaultRecordDelay = time.Second
+	// DefaultPatience is how long a claim waits for its turn once the store's rate limit was reached.
+	DefaultPatience = 200 * time.Millisecond
+	// delayedWrites is the number of swaps a second, over all instances, from which the whole delay applies. Below,
+	// the delay is in proportion, so that results are recorded at once while the store has room.
+	delayedWrites = 200
 	// DefaultMaxWait bounds a request whose context has no earlier deadline.
 	DefaultMaxWait = 10 * time.Second
 
+	drainInterval   = 5 * time.Millisecond
 	partitionPrefix = "carobbend/claims/"
 )
 
@@ -35,8 +43,12 @@
 	bounds       Bounds
 	storeTimeout time.Duration
 	peerTimeout  time.Duration
+	recordDelay  time.Duration
+	patience     time.Duration
 	maxWait      time.Duration
 	counters     counters
+	pacer        pacer
+	swaps        rateMeter
 }
 
 type counters struct {
@@ -63,6 +75,8 @@
 	bounds       Bounds
 	storeTimeout time.Duration
 	peerTimeout  time.Duration
+	recordDelay  time.Duration
+	patience     time.Duration
 	maxWait      time.Duration
 }
 
@@ -78,22 +92,31 @@
 // WithPeerTimeout bounds the wait for the preferred instance.
 func WithPeerTimeout(d time.Duration) Option { return func(o *options) { o.peerTimeout = d } }
 
+// WithRecordDelay sets the longest time that a finish or release waits to share the swap of a claim. A result
+// that isn't committed yet is lost if this instance dies; replays then get no result.
+func WithRecordDelay(d time.Duration) Option { return func(o *options) { o.recordDelay = d } }
+
+// WithPatience sets how long a claim waits for its turn once the store's rate limit was reached; 0 refuses it at
+// once.
+func WithPatience(d time.Duration) Option { return func(o *options) { o.patience = d } }
+
 // New returns a claimer; nil peers mean that this instance is alone.
 func New(store carobbend.Store, peers carobbend.Peers, opts ...Option) *Claimer {
 	o := options{
 		partitions: DefaultPartitions, bounds: DefaultBounds, storeTimeout: DefaultStoreTimeout,
-		peerTimeout: DefaultPeerTimeout, maxWait: DefaultMaxWait,
+		peerTimeout: DefaultPeerTimeout, recordDelay: DefaultRecordDelay, patience: DefaultPatience,
+		maxWait: DefaultMaxWait,
 	}
 	for _, opt := range opts {
 		opt(&o)
 	}
 	c := &Claimer{
 		store: store, peers: peers, bounds: o.bounds, storeTimeout: o.storeTimeout,
-		peerTimeout: o.peerTimeout, maxWait: o.maxWait,
+		peerTimeout: o.peerTimeout, recordDelay: o.recordDelay, patience: o.patience, maxWait: o.maxWait,
 	}
 	c.partitions = make([]*partition, o.partitions)
 	for i := range c.partitions {
-		c.partitions[i] = &partition{c: c, key: fmt.Sprintf("%s%03d", partitionPrefix, i)}
+		c.partitions[i] = &partition{c: c, key: fmt.Sprintf("%s%03d", partitionPrefix, i), wake: make(chan struct{}, 1)}
 	}
 	return c
 }
@@ -141,6 +164,22 @@
 	}
 }
 
+// Drain waits until no request is queued and no call to the store is in flight, or until ctx ends.
+func (c *Claimer) Drain(ctx context.Context) error {
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+	for _, p := range c.partitions {
+		for p.busy() {
+			select {
+			case <-tick.C:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
 func (c *Claimer) partition(key string) *partition {
 	return c.partitions[xxhash.Sum64String(key)%uint64(len(c.partitions))]
 }
@@ -172,6 +211,16 @@
 	return r.Status == StatusRefused && (r.Detail == DetailStoreDown || r.Detail == DetailWithdrawn)
 }
 
+// delay returns how long a finish or release may wait now.
+func (c *Claimer) delay() time.Duration {
+	instances := 1
+	if c.peers != nil {
+		instances = max(len(c.peers.Live()), 1)
+	}
+	share := c.swaps.perSecond(time.Now()) * float64(instances) / delayedWrites
+	return time.Duration(float64(c.recordDelay) * min(share, 1))
+}
+
 func (c *Claimer) get(ctx context.Context, key string) (carobbend.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.storeTimeout)
 	defer cancel()
@@ -183,5 +232,6 @@
 	ctx, cancel := context.WithTimeout(ctx, c.storeTimeout)
 	defer cancel()
 	c.counters.writes.Add(1)
+	c.swaps.add(time.Now())
 	return c.store.CompareAndSwap(ctx, key, value, revision)
 }
--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -6,7 +6,9 @@
 // commits requests in groups and routes them to the partition's preferred instance, which avoids conflicts.
 //
 // A claim belongs to an owner id that is unique for each attempt. Whoever committed it, a claim that carries the
-// own owner id is one's own; this makes lost replies, duplicates and late peer requests harmless.
+// own owner id is one's own; this makes lost replies, duplicates and late peer requests harmless. The one exception
+// costs availability and not safety: a duplicate that arrives after its first copy was refused takes the key for an
+// owner that gave up, and nobody runs it. Links that deliver a request once don't cause this.
 //
 // # Usage
 //
--- a/claimer/partition.go
+++ b/claimer/partition.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	queue   []*pending
 	running bool
+	// wake ends the wait of a running partition whose requests may all be delayed.
+	wake chan struct{}
 
 	// The fields below belong to the running round.
 	value    *encoder.ClaimPartition
@@ -40,8 +42,11 @@
 
 // pending is a request that waits for its result. Its fields are guarded by partition.mu.
 type pending struct {
-	req  Request
-	done chan Result
+	req    Request
+	done   chan Result
+	queued time.Time
+	// due is the time by which the request is committed, alone if need be.
+	due time.Time
 	// ended says that the request was settled or withdrawn.
 	ended bool
 	// swapping says that a swap with this request is in flight.
@@ -54,15 +59,24 @@
 
 // submit queues a request and waits for its result or the end of ctx.
 func (p *partition) submit(ctx context.Context, req Request) Result {
-	w := &pending{req: req, done: make(chan Result, 1)}
 	if ctx.Err() != nil {
 		return Result{Status: StatusRefused, Detail: DetailWithdrawn}
 	}
+	w := &pending{req: req, done: make(chan Result, 1), queued: time.Now()}
+	w.due = w.queued
+	if req.Action != ActionClaim {
+		w.due = w.due.Add(p.c.delay())
+	}
 	p.mu.Lock()
 	p.queue = append(p.queue, w)
 	if !p.running {
 		p.running = true
 		go p.run()
+	} else if req.Action == ActionClaim {
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
 	}
 	p.mu.Unlock()
 	select {
@@ -73,6 +87,12 @@
 	}
 }
 
+func (p *partition) busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running
+}
+
 // withdraw takes a request out of the queue. It is refused only if no swap that held it can have taken effect.
 func (p *partition) withdraw(w *pending) Result {
 	p.mu.Lock()
@@ -95,7 +115,16 @@
 		if !p.waiting() {
 			return
 		}
-		if p.round(ctx) {
+		if wait := p.untilDue(); wait > 0 {
+			t := time.NewTimer(wait)
+			select {
+			case <-p.wake:
+			case <-t.C:
+			}
+			t.Stop()
+			continue
+		}
+		if p.turn() && p.round(ctx) {
 			p.failures = 0
 			continue
 		}
@@ -120,6 +149,35 @@
 	return p.running
 }
 
+// untilDue returns the time until the first request is due.
+func (p *partition) untilDue() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first time.Time
+	for _, w := range p.queue {
+		if first.IsZero() || w.due.Before(first) {
+			first = w.due
+		}
+	}
+	if first.IsZero() {
+		return 0
+	}
+	return time.Until(first)
+}
+
+// turn waits for the partition's turn to swap. It returns false, and refuses claims, where that takes too long.
+func (p *partition) turn() bool {
+	wait, ok := p.c.pacer.reserve(time.Now(), p.c.patience)
+	if !ok {
+		p.refuse(DetailStoreLimited)
+		return false
+	}
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	return true
+}
+
 func (p *partition) trim() {
 	live := p.queue[:0]
 	for _, w := range p.queue {
@@ -155,6 +213,9 @@
 	}
 	swapped, err := p.c.swap(ctx, p.key, value, p.revision)
 	p.known = false
+	if err == nil {
+		p.c.pacer.accepted()
+	}
 	switch {
 	case err == nil && swapped:
 		p.settle(batch, results)
@@ -173,7 +234,7 @@
 		return false
 	default:
 		p.back(batch)
-		p.refuse(detailOf(err))
+		p.refuse(p.failed(err))
 		return false
 	}
 }
@@ -188,8 +249,10 @@
 	return true
 }
 
-func detailOf(err error) string {
+// failed names the reason of a call without effect, and slows down after one refused for its rate.
+func (p *partition) failed(err error) string {
 	if carobbend.StoreFailureOf(err) == carobbend.StoreLimited {
+		p.c.pacer.limited(time.Now())
 		return DetailStoreLimited
 	}
 	return DetailStoreDown
@@ -199,7 +262,7 @@
 func (p *partition) load(ctx context.Context) bool {
 	e, err := p.c.get(ctx, p.key)
 	if err != nil {
-		p.refuse(detailOf(err))
+		p.refuse(p.failed(err))
 		return false
 	}
 	value := &encoder.ClaimPartition{}
@@ -278,12 +341,15 @@
 	}
 }
 
-// refuse settles the requests that were in no swap; the others wait for a read that resolves them.
+// refuse settles the requests that were in no swap; the others wait for a read that resolves them. Where the store
+// is limited, claims wait for some time, and a finish or release waits until its context ends.
 func (p *partition) refuse(detail string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	for _, w := range p.queue {
-		if !w.exposed {
+		patient := detail == DetailStoreLimited && (w.req.Action != ActionClaim || now.Sub(w.queued) < p.c.patience)
+		if !w.exposed && !patient {
 			p.end(w, Result{Status: StatusRefused, Detail: detail})
 		}
 	}
--- a/claimer/peer.go
+++ b/claimer/peer.go
@@ -14,7 +14,7 @@
 	if self {
 		return Result{}, false
 	}
-	timeout := c.peerTimeout
+	timeout := c.handlingTime(req.Action)
 	if deadline, ok := ctx.Deadline(); ok {
 		// Half of the time stays for committing without the peer.
 		timeout = min(timeout, time.Until(deadline)/2)
@@ -33,6 +33,14 @@
 	return r, true
 }
 
+// handlingTime is how long a forwarded request may take; a finish or release may be delayed.
+func (c *Claimer) handlingTime(a Action) time.Duration {
+	if a == ActionClaim {
+		return c.peerTimeout
+	}
+	return c.peerTimeout + c.recordDelay
+}
+
 // preferred returns the instance that commits for the partition and whether it is this one.
 func (c *Claimer) preferred(partition string) (string, bool) {
 	if c.peers == nil {
@@ -54,7 +62,7 @@
 	}
 	r := Result{Status: StatusRefused, Detail: "the request is incomplete"}
 	if q, ok := fromWire(w); ok {
-		ctx, cancel := context.WithTimeout(ctx, c.peerTimeout)
+		ctx, cancel := context.WithTimeout(ctx, c.handlingTime(q.Action))
 		defer cancel()
 		r = c.partition(q.Key).submit(ctx, q)
 	}
--- a/dispatcher/harness_test.go
+++ b/dispatcher/harness_test.go
@@ -266,6 +266,11 @@
 			t.Errorf("drain: %v", err)
 		}
 	}
+	for _, c := range f.net.claimers {
+		if err := c.Drain(t.Context()); err != nil {
+			t.Errorf("drain: %v", err)
+		}
+	}
 }
 
 func newOp(timeout time.Duration) carobbend.Operation {
