Close idle connections of the sender early

Cause: an operation on a connection that went silent while it was idle ends unknown at its deadline, and an unknown order has to be settled by people.

Ruled out: a probe before each use, which HTTP/1.1 doesn't have. Connections to upstreams that take operations open in about 1 ms, so idle ones are closed after 2 s instead of 30 s, and WithIdleTimeout(0) opens one for each operation.

Shown by removal: with keep-alive the second operation on the silent connection fails at its deadline (TestSilentIdleConnection).

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -75,7 +76,7 @@
 	detail := "no upstream is available"
 	for range ids {
 		id, ok := a.d.cfg.Balancer.Pick(time.Now(), ids, avoid)
-		if !ok || contains(avoid, id) {
+		if !ok || slices.Contains(avoid, id) {
 			break
 		}
 		// The process may have been paused since the claim. The claim alone doesn't permit a late write.
@@ -129,12 +130,3 @@
 		}
 	})
 }
-
-func contains(ids []carobbend.UpstreamID, id carobbend.UpstreamID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -23,8 +23,9 @@
 	DefaultMaxConns = 4
 	// DefaultMaxAnswerBytes bounds an upstream's answer.
 	DefaultMaxAnswerBytes = 1 << 20
-	// DefaultIdleTimeout closes connections that weren't used.
-	DefaultIdleTimeout = 30 * time.Second
+	// DefaultIdleTimeout closes connections that weren't used. A connection that went silent while it was idle costs
+	// the next operation its known outcome, and a new one opens in about 1 ms.
+	DefaultIdleTimeout = 2 * time.Second
 
 	headerRequestID     = "X-Request-Id"
 	headerDeadline      = "X-Deadline-Ms"
@@ -57,6 +58,11 @@
 	return func(s *Sender) { s.transport.MaxConnsPerHost, s.transport.MaxIdleConnsPerHost = n, n }
 }
 
+// WithIdleTimeout closes connections that weren't used for d; 0 opens a connection for each operation.
+func WithIdleTimeout(d time.Duration) Option {
+	return func(s *Sender) { s.transport.IdleConnTimeout, s.transport.DisableKeepAlives = d, d == 0 }
+}
+
 // WithMaxAnswerBytes bounds an upstream's answer.
 func WithMaxAnswerBytes(n int64) Option { return func(s *Sender) { s.maxAnswer = n } }
 
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -195,6 +195,25 @@
 	}
 }
 
+// Guards against operations that end unknown on a connection which went silent while it was idle.
+func TestSilentIdleConnection(t *testing.T) {
+	up := emulator.NewUpstream(emulator.UpstreamConfig{ID: "u"})
+	srv := httptest.NewUnstartedServer(up)
+	l := &emulator.Listener{Listener: srv.Listener}
+	srv.Listener = l
+	srv.Start()
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	s := New(map[carobbend.UpstreamID]string{"u": address(srv)}, WithIdleTimeout(0))
+	defer s.Close()
+	for i := range 3 {
+		if _, err := s.SendOperation(t.Context(), "u", newOp()); err != nil {
+			t.Fatalf("operation %d: %v", i, err)
+		}
+		l.Silence()
+	}
+}
+
 // recorder is a connection that keeps what was written.
 type recorder struct {
 	net.Conn
