Answer unknown for a key that this instance sent before

Cause: while the store is out of reach, a repeated request got not-run from the same instance that had sent the operation moments before. The answer held for the repeated request, but a caller could take it for the key.

Ruled out: unknown for every refusal without the store.

Shown by removal: TestStoreDown gets not-run instead of unknown.

Requests that other instances sent stay out of sight while the store is out of reach; the package comment says what callers do about it.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -63,6 +63,9 @@
 	if waited {
 		return unknown(DetailInProgress)
 	}
+	if a.d.sent.has(a.op.Key) {
+		return unknown("an earlier request with this key was sent and may have run")
+	}
 	return a.notRun(detail)
 }
 
--- a/dispatcher/doc.go
+++ b/dispatcher/doc.go
@@ -5,7 +5,8 @@
 // without a claim and may be retried.
 //
 // The outcome not-run means that the request it answers was not sent to any upstream and never will be. Where the
-// store is out of reach, it says nothing about earlier requests with the same key.
+// store is out of reach, it says nothing about earlier requests with the same key that other instances got. A caller
+// whose earlier request ended without an answer keeps that request unknown until a later one is done.
 //
 // # Usage
 //
--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -35,6 +35,7 @@
 		}
 		time.AfterFunc(3*time.Second, func() { store.SetOutage(false) })
 		wantOutcome(t, "in the middle", f.instances[0].Run(t.Context(), op), carobbend.OutcomeDone)
+		wantOutcome(t, "repeated while down", f.instances[0].Run(t.Context(), op), carobbend.OutcomeUnknown)
 		f.drain(t)
 		f.up.before = nil
 		op.Deadline = time.Now().Add(time.Second)
--- a/dispatcher/sent.go
+++ b/dispatcher/sent.go
@@ -34,6 +34,14 @@
 	return true
 }
 
+// has reports whether the key was dispatched and not cleared since.
+func (s *sentKeys) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.owners[key]
+	return ok
+}
+
 // clear forgets a dispatch that provably wrote nothing.
 func (s *sentKeys) clear(key, owner string) {
 	s.mu.Lock()
