--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -62,6 +63,9 @@
 	if waited {
 		return unknown(DetailInProgress)
 	}
+	if a.d.sent.has(a.op.Key) {
+		return unknown("an earlier request with this key was sent and may have run")
+	}
 	return a.notRun(detail)
 }
 
@@ -75,7 +79,7 @@
 	detail := "no upstream is available"
 	for range ids {
 		id, ok := a.d.cfg.Balancer.Pick(time.Now(), ids, avoid)
-		if !ok || contains(avoid, id) {
+		if !ok || slices.Contains(avoid, id) {
 			break
 		}
 		// The process may have been paused since the claim. The claim alone doesn't permit a late write.
@@ -129,12 +133,3 @@
 		}
 	})
 }
-
-func contains(ids []carobbend.UpstreamID, id carobbend.UpstreamID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
