--- a/executor/attempt_test.go
+++ b/executor/attempt_test.go
@@ -79,3 +79,14 @@
 		}
 	}
 }
+
+// Guards against a timer that fires again before its event was handled: the node would be linked to itself.
+func TestTimerIsPostedOnce(t *testing.T) {
+	r := &run{}
+	r.inbox.head.Store(&busy)
+	r.fire()
+	r.fire()
+	if got := r.inbox.head.Load(); got != &r.tick || r.tick.next != &busy {
+		t.Errorf("inbox: got %p with next %p, want the timer %p alone", got, r.tick.next, &r.tick)
+	}
+}
--- a/planner/snapshot.go
+++ b/planner/snapshot.go
@@ -79,10 +79,10 @@
 	return true
 }
 
-// replan starts over on another snapshot, once, if the deadline allows and if it covers more than the pinned one
-// still can.
+// replan starts over on another snapshot if the deadline allows and if it covers more than the pinned one still can.
+// It starts over once at most, since a shard that is missed afterwards doesn't ask for it.
 func (p *Planner) replan(now time.Time) {
-	if p.stats.Replans > 0 || p.finishAt-p.now < max(minReplanTime, p.delay) {
+	if p.finishAt-p.now < max(minReplanTime, p.delay) {
 		return
 	}
 	l, ok := p.choose(p.cfg.Catalog.Layouts(p.cfg.Query.Index), p.combiner.Snapshot())
