Bound the hedges tried on an empty budget; share timers of waits for capacity

Cause: when a whole index is slow, each pending shard asked the empty budget for a hedge every 2 ms.

Ruled out: giving up hedges after a denial, since the budget earns from other queries.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -68,6 +68,10 @@
 // Run answers a query. It returns shortly before the deadline at the latest, and at once when ctx is canceled.
 func (x *Executor) Run(ctx context.Context, q carobbend.Query) carobbend.Answer {
 	r := newRun(ctx, x, q)
+	if ctx.Err() != nil {
+		r.post(&r.gone)
+		return *r.answer
+	}
 	r.post(&r.start)
 	select {
 	case <-r.done:
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -162,6 +162,9 @@
 			}
 		}
 		st := p.Stats()
+		if most := int(carobbend.DefaultDeadline/hedgePause) + maxRetries*(st.Primaries+1); w.denied > most {
+			t.Fatalf("requests to an empty budget: got %d, want at most %d", w.denied, most)
+		}
 		if w.earned != st.Primaries || w.observed != good || w.leaving != leaving {
 			t.Fatalf("earned, observed, leaving: got %d, %d, %d, want %d, %d, %d", w.earned, w.observed, w.leaving, st.Primaries, good, leaving)
 		}
@@ -289,3 +292,22 @@
 		t.Errorf("no replicas: got %s, want %s", got, carobbend.MissingNoReplica)
 	}
 }
+
+// Guards against a slow index whose shards all ask an empty budget for hedges again and again.
+func TestHedgesPauseWhenTheBudgetIsEmpty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, start: time.Unix(1_800_000_000, 0), percent: 0.01, wanted: 100, hedge: 3 * time.Millisecond}
+		w.layouts = []carobbend.Layout{{Index: index, Snapshot: 1, Replicas: slices.Repeat([][]carobbend.UpstreamID{{"a", "b"}}, 40)}}
+		p := New(Config{
+			Query:   carobbend.Query{ID: "Q", Index: index, Deadline: w.start.Add(carobbend.DefaultDeadline)},
+			Catalog: w, Balancer: w, Hedger: w, Budget: w, Rules: w,
+		})
+		p.Handle(w.start, Event{Kind: EventStart})
+		for !p.Done() {
+			p.Handle(p.NextTimer(), Event{Kind: EventTimer})
+		}
+		if most := int(carobbend.DefaultDeadline / hedgePause); w.denied == 0 || w.denied > most {
+			t.Fatalf("denied hedges: got %d, want 1 to %d", w.denied, most)
+		}
+	})
+}
--- a/planner/shard.go
+++ b/planner/shard.go
@@ -49,7 +49,7 @@
 	s := &p.shards[i]
 	id, ok := p.cfg.Balancer.Pick(now, s.replicas, nil)
 	if !ok {
-		p.wakeAt(s, p.now+capacityWait/2+p.jitter(capacityWait/2))
+		p.waitForCapacity(s)
 		return
 	}
 	p.earned++
@@ -60,13 +60,22 @@
 // hedge sends a further request to a replica that wasn't asked and didn't refuse.
 func (p *Planner) hedge(now time.Time, i int) {
 	s := &p.shards[i]
+	if p.now < p.hedgeFrom {
+		p.wakeAt(s, p.hedgeFrom)
+		return
+	}
 	candidates := p.without(s.replicas, s.tried, s.barred)
 	if len(candidates) == 0 {
 		return
 	}
 	id, ok := p.cfg.Balancer.Pick(now, candidates, s.tried)
-	if !ok || !p.spend() {
-		p.wakeAt(s, p.now+capacityWait/2+p.jitter(capacityWait/2))
+	if !ok {
+		p.waitForCapacity(s)
+		return
+	}
+	if !p.spend() {
+		p.hedgeFrom = p.now + hedgePause
+		p.wakeAt(s, p.hedgeFrom)
 		return
 	}
 	p.stats.Hedges++
@@ -82,7 +91,7 @@
 	}
 	id, ok := p.cfg.Balancer.Pick(now, candidates, s.tried)
 	if !ok {
-		p.wakeAt(s, p.now+capacityWait/2+p.jitter(capacityWait/2))
+		p.waitForCapacity(s)
 		return
 	}
 	s.retries++
@@ -198,6 +207,11 @@
 	return string(b)
 }
 
+func (p *Planner) waitForCapacity(s *shard) {
+	at := p.now + capacityWait/2 + p.jitter(capacityWait/2)
+	p.wakeAt(s, at.Truncate(waitSlot)+waitSlot)
+}
+
 func (p *Planner) wakeAt(s *shard, at time.Duration) {
 	s.wake = at
 	p.next = min(p.next, at)
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -46,6 +46,7 @@
 	earned   int
 	observed int
 	leaving  int
+	denied   int
 }
 
 type delivery struct {
@@ -123,6 +124,7 @@
 
 func (w *world) Spend(string) bool {
 	if w.tokens < 1 {
+		w.denied++
 		return false
 	}
 	w.tokens--
