Make the admission limit settle at few lost shards

Cause: under overload the limit grew by half a query over the limit with each finished one and was cut only once per service time, so that it settled where 30% of the answers lost shards. A query also started with only the median service time left, so half of those ran in vain. Now: growth 0.05, the cut is in proportion to the shards lost, and a query needs the p90 service time before its deadline. Ruled out: a cut of 10% for each answer that lost a shard (one overloaded shard would throttle all queries).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -135,8 +135,9 @@
 	a.limit.finished(now, service, used)
 }
 
-// Congested records that a started query lost shards to sheds or to the deadline; it comes before Finished.
-func (a *Admitter) Congested(now time.Time) { a.limit.decrease(now) }
+// Congested records that a started query lost a share of its shards, from 0 to 1, to sheds or to the deadline; it
+// comes before Finished.
+func (a *Admitter) Congested(now time.Time, share float64) { a.limit.decrease(now, 1-lostWeight*share) }
 
 // Refused returns and clears the tickets refused since the last call.
 func (a *Admitter) Refused() []*carobbend.Ticket {
@@ -180,7 +181,7 @@
 // starts, since otherwise nothing would be learned any more while queries take as long as their deadline allows.
 func (a *Admitter) late(now time.Time, e entry) bool {
 	d := e.ticket.Query.Deadline
-	return !d.IsZero() && now.After(e.offered) && now.Add(a.limit.typical()).After(d)
+	return !d.IsZero() && now.After(e.offered) && now.Add(a.limit.allowance()).After(d)
 }
 
 // nextClass returns the waiting class that had the least service for its weight.
@@ -196,13 +197,12 @@
 }
 
 // estimate returns the expected time to the answer: the wait behind the house's own queue at the rate that its
-// share of the class and the class's share of the capacity give it, and the typical service time. It is 0 where the
+// share of the class and the class's share of the capacity give it, and the service time allowed for. It is 0 where the
 // query may start at once.
 func (a *Admitter) estimate(c *classQueue, q *houseQueue, t *carobbend.Ticket) time.Duration {
 	if a.waiting == 0 && a.running < a.limit.now() {
 		return 0
 	}
-	service := a.limit.typical()
 	weights := c.weight
 	for _, o := range a.classes {
 		if o != c && o.waiting > 0 {
@@ -213,11 +213,11 @@
 	if q.len() == 0 {
 		shares += float64(q.share)
 	}
-	// ahead counts the typical queries that run before this one ends, in units of its own cost.
+	// ahead counts the queries that run before this one ends, in units of its own cost.
 	ahead := float64(q.cost+costOf(t)) / float64(costOf(t))
 	ahead *= weights / c.weight * shares / float64(q.share)
-	wait := time.Duration(ahead / float64(a.limit.now()) * float64(service))
-	return wait + service
+	wait := time.Duration(ahead / float64(a.limit.now()) * float64(a.limit.mean()))
+	return wait + a.limit.allowance()
 }
 
 func costOf(t *carobbend.Ticket) int { return max(t.Cost, 1) }
--- a/admitter/concurrency.go
+++ b/admitter/concurrency.go
@@ -8,11 +8,14 @@
 
 const (
 	// defaultLimit, defaultLeast and defaultMost bound the queries that run at a time.
-	defaultLimit = 16
+	defaultLimit = 8
 	defaultLeast = 2
 	defaultMost  = 256
-	// congestionFactor scales the limit when queries take too long or lose shards.
-	congestionFactor = 0.9
+	// slowFactor scales the limit when queries take too long.
+	slowFactor = 0.9
+	// lostWeight is the part by which an answer that lost all its shards to overload lowers the limit. One that lost
+	// a few lowers it in proportion, since a single overloaded shard gains little from fewer queries.
+	lostWeight = 0.5
 	// congestedRatio is the recent service time over the baseline that counts as congestion.
 	congestedRatio = 4
 	// recentWeight is the weight of one service time in the recent mean.
@@ -22,12 +25,15 @@
 	// usedRatio is the limit over the running queries up to which the limit counts as used and grows.
 	usedRatio = 2
 	// growth over the limit is what a query that finished while the limit is used adds to it.
-	growth = 0.5
-	// serviceWindow is the number of service times in each of the two histograms of the median.
+	growth = 0.05
+	// serviceWindow is the number of service times in each of the two histograms of the quantile.
 	serviceWindow = 256
-	// firstMedian is the service time assumed before any was observed.
-	firstMedian = 10 * time.Millisecond
-	maxService  = time.Minute
+	// dueQuantile is the quantile, in percent, of the service times that a query must have left before its deadline.
+	// At the median half of the queries started last would run in vain.
+	dueQuantile = 90
+	// firstDue is the service time assumed before any was observed.
+	firstDue   = 10 * time.Millisecond
+	maxService = time.Minute
 )
 
 // concurrency is the adaptive limit of running queries.
@@ -38,7 +44,7 @@
 	// recent and baseline are service times in nanoseconds.
 	recent   float64
 	baseline float64
-	median   time.Duration
+	due      time.Duration
 	services *hdrhistogram.WindowedHistogram
 	seen     int
 	nextCut  time.Time
@@ -47,20 +53,28 @@
 func newConcurrency(start, least, most int) concurrency {
 	return concurrency{
 		value: float64(max(start, 1)), least: float64(max(least, 1)), most: float64(max(most, least, 1)),
-		median:   firstMedian,
+		due:      firstDue,
 		services: hdrhistogram.NewWindowed(2, 1, maxService.Microseconds(), 2),
 	}
 }
 
 func (c *concurrency) now() int { return int(c.value) }
 
-// typical returns the median service time.
-func (c *concurrency) typical() time.Duration { return c.median }
+// allowance returns the service time that most queries don't exceed.
+func (c *concurrency) allowance() time.Duration { return c.due }
+
+// mean returns the recent mean service time.
+func (c *concurrency) mean() time.Duration {
+	if c.recent == 0 {
+		return firstDue
+	}
+	return time.Duration(c.recent)
+}
 
 func (c *concurrency) finished(now time.Time, service time.Duration, used bool) {
 	c.learn(service)
 	if c.recent > congestedRatio*c.baseline {
-		c.decrease(now)
+		c.decrease(now, slowFactor)
 		return
 	}
 	if used {
@@ -72,7 +86,7 @@
 	v := min(max(service.Microseconds(), 1), maxService.Microseconds())
 	if err := c.services.Current.RecordValue(v); err == nil {
 		if c.seen++; c.seen%(serviceWindow/8) == 0 {
-			c.median = time.Duration(c.services.Merge().ValueAtQuantile(50)) * time.Microsecond
+			c.due = time.Duration(c.services.Merge().ValueAtQuantile(dueQuantile)) * time.Microsecond
 		}
 		if c.seen%serviceWindow == 0 {
 			c.services.Rotate()
@@ -91,11 +105,11 @@
 	}
 }
 
-// decrease scales the limit once per typical service time, so that one congestion isn't counted several times.
-func (c *concurrency) decrease(now time.Time) {
+// decrease scales the limit once per service time, so that one congestion isn't counted several times.
+func (c *concurrency) decrease(now time.Time, factor float64) {
 	if now.Before(c.nextCut) {
 		return
 	}
-	c.nextCut = now.Add(c.median)
-	c.value = max(c.value*congestionFactor, c.least)
+	c.nextCut = now.Add(c.due)
+	c.value = max(c.value*factor, c.least)
 }
--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -83,8 +83,8 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if congested(a) {
-		g.core.Congested(now)
+	if share := lost(a); share > 0 {
+		g.core.Congested(now, share)
 	}
 	g.core.Finished(now, t, now.Sub(started))
 	g.pumpLocked(now)
@@ -100,12 +100,13 @@
 	}
 }
 
-// congested reports whether an answer lost shards to overload.
-func congested(a carobbend.Answer) bool {
+// lost returns the share of its shards that an answer lost to overload.
+func lost(a carobbend.Answer) float64 {
+	n := 0
 	for _, m := range a.Missing {
 		if m.Reason == carobbend.MissingRefused || m.Reason == carobbend.MissingDeadline {
-			return true
+			n++
 		}
 	}
-	return false
+	return float64(n) / float64(max(a.Total, 1))
 }
