--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,9 +1,10 @@
 // Package limiter bounds the concurrency towards each upstream and the connections that an instance may hold.
 //
 // A limit starts at the upstream's slots divided by the live instances, grows by additive increase while it is in
-// use, and falls by multiplicative decrease on sheds and on latency far above its baseline. Where the slots are
-// fewer than the instances the sum of limits of one each already exceeds the slots; a limit may therefore fall
-// below one, which admits one request at a time with a pause after it, so that the mean concurrency is the limit.
+// use, and falls by multiplicative decrease on sheds and on latency far above its baseline, down to one. Where the
+// slots are fewer than the instances, limits of one each exceed the slots together; the upstream's queue takes the
+// difference, and the admission limit of the instances ends an overload. A limit below one, kept by a pause after
+// each request, made no difference in docs/measurements.md.
 //
 // The package uses no clock; all times are passed in. A Limiter is safe for concurrent use.
 //
@@ -24,8 +25,8 @@
 const (
 	// defaultSlots is used where the slots of an upstream aren't known.
 	defaultSlots = 4
-	// floorLimit is the lowest limit.
-	floorLimit = 0.25
+	// floorLimit is the lowest limit; below one, an upstream that shed everything would never be tried again.
+	floorLimit = 1
 	// shedFactor and slowFactor scale the limit on a shed and on a latency above the baseline.
 	shedFactor = 0.7
 	slowFactor = 0.9
@@ -48,14 +49,10 @@
 // WithInstances sets the number of live instances.
 func WithInstances(f func() int) Option { return func(l *Limiter) { l.instances = f } }
 
-// WithFloor sets the lowest limit, for comparison.
-func WithFloor(floor float64) Option { return func(l *Limiter) { l.floor = floor } }
-
 // Limiter holds the limits of all upstreams.
 type Limiter struct {
 	slots     func(carobbend.UpstreamID) int
 	instances func() int
-	floor     float64
 
 	mu    sync.Mutex
 	state map[carobbend.UpstreamID]*limit
@@ -66,10 +63,9 @@
 	most     float64
 	inFlight int
 	// smoothed and baseline are latencies in nanoseconds.
-	smoothed  float64
-	baseline  float64
-	nextCut   time.Time
-	notBefore time.Time
+	smoothed float64
+	baseline float64
+	nextCut  time.Time
 }
 
 // New returns a Limiter that knows no upstream yet.
@@ -77,7 +73,6 @@
 	l := &Limiter{
 		slots:     func(carobbend.UpstreamID) int { return defaultSlots },
 		instances: func() int { return 1 },
-		floor:     floorLimit,
 		state:     map[carobbend.UpstreamID]*limit{},
 	}
 	for _, o := range opts {
@@ -87,13 +82,10 @@
 }
 
 // Allow reports whether another request to id is within the limit.
-func (l *Limiter) Allow(now time.Time, id carobbend.UpstreamID) bool {
+func (l *Limiter) Allow(_ time.Time, id carobbend.UpstreamID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.of(id)
-	if s.value < 1 {
-		return s.inFlight == 0 && !now.Before(s.notBefore)
-	}
 	return s.inFlight < int(s.value)
 }
 
@@ -113,21 +105,18 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	switch kind {
 	case carobbend.FailureShed:
-		s.decrease(now, shedFactor, l.floor)
+		s.decrease(now, shedFactor)
 	case carobbend.FailureNone:
 		s.observe(float64(latency))
 		switch {
 		case s.baseline > 0 && s.smoothed > slowRatio*s.baseline:
-			s.decrease(now, slowFactor, 1)
+			s.decrease(now, slowFactor)
 		case used:
-			s.value = min(s.value+1/max(s.value, 1), s.most)
+			s.value = min(s.value+1/s.value, s.most)
 		}
 	default:
 		// Other failures say nothing about concurrency; the balancer ejects on them.
 	}
-	if s.value < 1 {
-		s.notBefore = now.Add(time.Duration(s.baseline * (1/s.value - 1)))
-	}
 }
 
 // Limit returns the present limit of id.
@@ -164,10 +153,10 @@
 }
 
 // decrease scales the limit once per smoothed latency, so that one congestion isn't counted several times.
-func (s *limit) decrease(now time.Time, factor, floor float64) {
+func (s *limit) decrease(now time.Time, factor float64) {
 	if now.Before(s.nextCut) {
 		return
 	}
 	s.nextCut = now.Add(max(time.Duration(s.smoothed), minPause))
-	s.value = max(s.value*factor, min(floor, s.value))
+	s.value = max(s.value*factor, floorLimit)
 }
