Serve first the houses that left their share unused

A house is now credited the quantum of up to 4 rounds without waiting queries, and what is left of its deficit. TestSparseHouseIsServedFirst fails without the credit.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -106,7 +106,6 @@
 		c.push(now, q, t)
 		a.waiting++
 	}
-	c.drop(q)
 }
 
 // Next returns the next query to start, or nil where none waits or the limit is reached.
@@ -214,8 +213,9 @@
 		shares += float64(q.share)
 	}
 	// ahead counts the queries that run before this one ends, in units of its own cost.
-	ahead := float64(q.cost+costOf(t)) / float64(costOf(t))
-	ahead *= weights / c.weight * shares / float64(q.share)
+	ahead := float64(max(q.cost+costOf(t)-c.credit(q), 0)) / float64(costOf(t))
+	ahead *= shares / float64(q.share)
+	ahead = (ahead + 1) * weights / c.weight
 	wait := time.Duration(ahead / float64(a.limit.now()) * float64(a.limit.mean()))
 	return wait + a.limit.allowance()
 }
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -106,6 +106,43 @@
 	}
 }
 
+// Guards against a house within its share that waits behind one that floods, and against credit without bound.
+func TestSparseHouseIsServedFirst(t *testing.T) {
+	a := New(WithLimit(1, 1, 1), WithQueue(1000, 1000))
+	flood := func(n int) {
+		for range n {
+			a.Offer(start, ticket("flood", 0, 10))
+		}
+	}
+	next := func() string {
+		n := a.Next(start)
+		a.Finished(start, n, time.Millisecond)
+		return n.Query.House
+	}
+	flood(200)
+	for range 20 {
+		for range 3 {
+			next()
+		}
+		a.Offer(start, ticket("sparse", 0, 10))
+		if got, want := next(), "sparse"; got != want {
+			t.Fatalf("next: got %s, want %s", got, want)
+		}
+	}
+	for range 100 {
+		a.Offer(start, ticket("late", 0, 10))
+	}
+	late := 0
+	for range 40 {
+		if next() == "late" {
+			late++
+		}
+	}
+	if most := 40/2 + creditRounds + 1; late > most {
+		t.Errorf("served of a house that was idle: got %d of 40, want at most %d", late, most)
+	}
+}
+
 // Guards against queries that wait in vain or in queues without bound, and against a flooding house that fills the
 // queue of the others.
 func TestEarlyRefusal(t *testing.T) {
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -18,7 +18,15 @@
 // classOrder settles ties between classes.
 var classOrder = [classCount]carobbend.Class{carobbend.ClassFirst, carobbend.ClassOrdinary, carobbend.ClassLast}
 
-// classQueue holds the queues of the houses of one class and serves them by deficit round robin.
+// maxIdleHouses is the number of houses without waiting queries that are kept before forgotten ones are dropped.
+const maxIdleHouses = 64
+
+// creditRounds is the number of rounds without waiting queries for which a house is credited its quantum.
+const creditRounds = 4
+
+// classQueue holds the queues of the houses of one class and serves them by deficit round robin. A house that left
+// its quantum unused is served first when it comes back, up to a bounded credit; a house within its share thus
+// doesn't wait behind one that floods.
 type classQueue struct {
 	weight  float64
 	virtual float64
@@ -30,6 +38,8 @@
 	ring []*houseQueue
 	// quantum is the greatest cost seen, so that each round serves at least one query of each house.
 	quantum int
+	// round counts the rounds served, as cost over the quanta of all waiting houses.
+	round float64
 }
 
 // entry is a ticket with the time at which it was offered.
@@ -46,6 +56,8 @@
 	deficit int
 	// granted says that the house got its quantum in this round.
 	granted bool
+	// leftAt is the round in which the house last stopped waiting.
+	leftAt float64
 }
 
 func newClassQueue(weight float64) *classQueue {
@@ -54,30 +66,43 @@
 
 func (q *houseQueue) len() int { return len(q.tickets) }
 
-// house returns the queue of a house; drop removes it again if it stays empty.
+// house returns the queue of a house; forget removes it again once its credit is complete.
 func (c *classQueue) house(name string, share int) *houseQueue {
 	q := c.houses[name]
 	if q == nil {
-		q = &houseQueue{house: name, share: share}
+		q = &houseQueue{house: name, share: share, leftAt: c.round - creditRounds}
 		c.houses[name] = q
 	}
 	return q
 }
 
-func (c *classQueue) drop(q *houseQueue) {
-	if q.len() == 0 {
-		delete(c.houses, q.house)
+// forget drops houses that don't wait and have nothing to remember.
+func (c *classQueue) forget() {
+	for name, q := range c.houses {
+		if q.len() == 0 && c.round-q.leftAt >= creditRounds {
+			delete(c.houses, name)
+		}
+	}
+}
+
+// credit is the cost that a house may be served at once.
+func (c *classQueue) credit(q *houseQueue) int {
+	if q.len() > 0 {
+		return q.deficit
 	}
+	return int(min(c.round-q.leftAt, creditRounds) * float64(c.quantum*q.share))
 }
 
 func (c *classQueue) push(now time.Time, q *houseQueue, t *carobbend.Ticket) {
+	c.quantum = max(c.quantum, costOf(t))
 	if q.len() == 0 {
-		c.ring = append(c.ring, q)
+		q.deficit = c.credit(q)
+		q.granted = true
+		c.ring = append([]*houseQueue{q}, c.ring...)
 		c.shares += q.share
 	}
 	q.tickets = append(q.tickets, entry{ticket: t, offered: now})
 	q.cost += costOf(t)
-	c.quantum = max(c.quantum, costOf(t))
 	c.waiting++
 }
 
@@ -99,6 +124,7 @@
 		q.tickets = q.tickets[1:]
 		q.cost -= costOf(e.ticket)
 		c.waiting--
+		c.round += float64(costOf(e.ticket)) / float64(c.quantum*c.shares)
 		if q.len() == 0 {
 			c.retire(0)
 		}
@@ -106,12 +132,17 @@
 	}
 }
 
-// retire takes the i-th house of the ring out; a house that no longer waits keeps no deficit.
+// retire takes the i-th house, which no longer waits, out of the ring.
 func (c *classQueue) retire(i int) {
 	q := c.ring[i]
 	c.ring = append(c.ring[:i:i], c.ring[i+1:]...)
 	c.shares -= q.share
-	delete(c.houses, q.house)
+	// What is left of a deficit counts as unused, so that a house with few queries at a time keeps its credit.
+	q.leftAt = c.round - min(float64(max(q.deficit, 0))/float64(c.quantum*q.share), creditRounds)
+	q.deficit = 0
+	if len(c.houses) > 2*len(c.ring)+maxIdleHouses {
+		c.forget()
+	}
 }
 
 func (c *classQueue) remove(t *carobbend.Ticket) bool {
