Wire serve and demo, and prove the path with processes

Cause: the parts were written apart; an instance has to run them together and stop without cutting off a request.

serve runs server, linker, registration, distributor and connector as one group that stops together after the drain.

The requester returned 'connection refused' where the other instances had refused as not-run; it now returns the refusal, since nothing was written.

Ruled out: a full rate cap for operations in the tests; the stand-in store takes 400 writes/s, so the load runs one operation in 40 requests.

--- a/cmd/carobbend/emulate.go
+++ b/cmd/carobbend/emulate.go
@@ -23,14 +23,14 @@
 	Upstreams emulateUpstreamsCmd `cmd:"" help:"Run the upstreams of an index or operation in one process."`
 }
 
-// storeFlags configure the store.
-type storeFlags struct {
+// standInStoreFlags configure the store.
+type standInStoreFlags struct {
 	Reads  float64       `help:"Reads a second that the store accepts; 0 means no limit." default:"2000"`
 	Writes float64       `help:"Writes a second that the store accepts; 0 means no limit." default:"400"`
 	Delay  time.Duration `help:"Delay of each call." default:"2ms"`
 }
 
-func (f storeFlags) store() *emulator.Store {
+func (f standInStoreFlags) store() *emulator.Store {
 	opts := []emulator.StoreOption{emulator.WithDelay(f.Delay)}
 	if f.Reads > 0 && f.Writes > 0 {
 		opts = append(opts, emulator.WithRates(f.Reads, f.Writes))
@@ -38,13 +38,13 @@
 	return emulator.NewStore(opts...)
 }
 
-// listFlags configure the instance list.
-type listFlags struct {
+// standInListFlags configure the instance list.
+type standInListFlags struct {
 	Lag time.Duration `help:"Time until readers of the instance list see a change." default:"1s"`
 	TTL time.Duration `help:"Time after which a service that doesn't pass its check is dropped; 0 means never." default:"10s"`
 }
 
-func (f listFlags) list() *emulator.List {
+func (f standInListFlags) list() *emulator.List {
 	return emulator.NewList(emulator.WithLag(f.Lag), emulator.WithTTL(f.TTL))
 }
 
@@ -57,7 +57,7 @@
 
 type emulateStoreCmd struct {
 	Listen string `help:"Address to listen on; port 0 takes a free one." default:"127.0.0.1:8500"`
-	storeFlags
+	standInStoreFlags
 }
 
 // Help documents the control endpoint.
@@ -74,7 +74,7 @@
 
 type emulateListCmd struct {
 	Listen string `help:"Address to listen on; port 0 takes a free one." default:"127.0.0.1:8501"`
-	listFlags
+	standInListFlags
 }
 
 // Run serves the instance list until SIGTERM or SIGINT.
@@ -82,8 +82,8 @@
 
 type emulatePlatformCmd struct {
 	Listen string `help:"Address to listen on; port 0 takes a free one." default:"127.0.0.1:8500"`
-	storeFlags
-	listFlags
+	standInStoreFlags
+	standInListFlags
 }
 
 // Help documents the control endpoint.
@@ -109,7 +109,8 @@
 	Control     string                 `help:"Address of the control endpoint; port 0 takes a free one." default:"127.0.0.1:0"`
 	Services    int                    `help:"Number of services; each holds one shard of a layout with as many shards." default:"10"`
 	Replicas    int                    `help:"Upstreams of each service." default:"3"`
-	Shards      int                    `help:"Shards of the snapshots held at the start; 0 means one for each service, -1 that nothing is held (operations)." default:"0"`
+	Shards      int                    `help:"Shards of the snapshots held at the start; 0 means one for each service." default:"0"`
+	NoShards    bool                   `help:"Hold nothing, for upstreams that take operations."`
 	Snapshots   int                    `help:"Number of snapshots held at the start, numbered from 1." default:"1"`
 	Slots       int                    `help:"Requests that one upstream runs at a time." default:"3"`
 	Connections int                    `help:"Connections that one upstream accepts; 0 means no limit." default:"30"`
@@ -150,6 +151,9 @@
 
 // Run serves the upstreams until SIGTERM or SIGINT.
 func (c *emulateUpstreamsCmd) Run() error {
+	if c.NoShards {
+		c.Snapshots = 0
+	}
 	g, err := emulator.StartGroup(context.Background(), emulator.GroupConfig{
 		Name: c.Name, Services: c.Services, Replicas: c.Replicas, Shards: c.Shards, Snapshots: c.Snapshots,
 		Connections: c.Connections, ConnectTime: c.ConnectTime, DataCentres: c.DataCentres, Listen: c.Listen,
--- /dev/null
+++ b/cmd/carobbend/instance.go
@@ -0,0 +1,329 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	oklogrun "github.com/oklog/run"
+	"github.com/oklog/ulid/v2"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/balancer"
+	"carobbend.example/carobbend/claimer"
+	"carobbend.example/carobbend/dispatcher"
+	"carobbend.example/carobbend/distributor"
+	"carobbend.example/carobbend/linker"
+	"carobbend.example/carobbend/logger"
+	"carobbend.example/carobbend/meter"
+	"carobbend.example/carobbend/sender"
+	"carobbend.example/carobbend/server"
+	"carobbend.example/carobbend/settings"
+	"carobbend.example/carobbend/storeclient"
+)
+
+const (
+	// announceLimit bounds the time for telling peers and the instance list that this instance is leaving.
+	announceLimit = 2 * time.Second
+	// idleBound is how long a connection of a caller must have been idle before it is closed without a reply.
+	idleBound = 2 * time.Second
+	// recordLimit bounds the recording of results and the withdrawal from the list after the last reply.
+	recordLimit = 5 * time.Second
+	// warmLimit is how long an instance waits at its start for the layouts of all indexes before it counts as ready.
+	warmLimit = 3 * time.Second
+	// linkerRound is the time between two reads of the instance list by the linker.
+	linkerRound = time.Second
+	// rulesShare is the part of the cap of store calls that is kept for the rules, and rulesRateMost its upper bound in
+	// calls a second; a watcher needs about one.
+	rulesShare    = 0.2
+	rulesRateMost = 5
+)
+
+// serveReady is the JSON line that an instance prints when its listeners are open.
+type serveReady struct {
+	Instance string `json:"instance"`
+	Callers  string `json:"callers"`
+	Admin    string `json:"admin"`
+	Peers    string `json:"peers"`
+}
+
+// instance is one entry instance with all its parts.
+type instance struct {
+	cfg         *settings.Settings
+	callers     net.Listener
+	admin       net.Listener
+	peers       net.Listener
+	incarnation string
+	started     time.Time
+	warm        atomic.Bool
+
+	store        *storeclient.Client
+	rulesStore   *storeclient.Client
+	list         *storeclient.List
+	links        *linker.Linker
+	registration *registration
+	rules        *distributor.Distributor
+	data         *dataPlane
+	sender       *sender.Sender
+	dispatcher   *dispatcher.Dispatcher
+	claims       *claimer.Claimer
+	server       *server.Server
+	meter        *meter.Meter
+	log          logger.Logger
+}
+
+// newInstance opens the listeners and puts the parts together; run starts them.
+func newInstance(ctx context.Context, cfg *settings.Settings) (*instance, error) {
+	x := &instance{cfg: cfg, incarnation: ulid.Make().String(), started: time.Now(), log: logger.New("instance")}
+	if err := x.listen(ctx); err != nil {
+		return nil, errors.Join(err, x.closeListeners())
+	}
+	if err := x.assemble(); err != nil {
+		return nil, errors.Join(err, x.closeListeners())
+	}
+	return x, nil
+}
+
+func (x *instance) listen(ctx context.Context) error {
+	var lc net.ListenConfig
+	for _, l := range []struct {
+		ln      *net.Listener
+		address string
+	}{{&x.callers, x.cfg.Listen.Callers}, {&x.admin, x.cfg.Listen.Admin}, {&x.peers, x.cfg.Listen.Peers}} {
+		ln, err := lc.Listen(ctx, "tcp", l.address)
+		if err != nil {
+			return err
+		}
+		*l.ln = ln
+	}
+	return nil
+}
+
+func (x *instance) closeListeners() error {
+	var errs []error
+	for _, ln := range []net.Listener{x.callers, x.admin, x.peers} {
+		if ln != nil {
+			errs = append(errs, ln.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (x *instance) assemble() error {
+	cfg := x.cfg
+	// The rules have a part of the cap for themselves; otherwise many operations would keep a rule file from arriving.
+	rulesRate := min(cfg.Store.CallsPerSecond*rulesShare, rulesRateMost)
+	x.store = storeclient.New(cfg.Store.URL, storeclient.WithTimeout(cfg.Store.Timeout), storeclient.WithRate(cfg.Store.CallsPerSecond-rulesRate))
+	x.rulesStore = storeclient.New(cfg.Store.URL, storeclient.WithTimeout(cfg.Store.Timeout), storeclient.WithRate(rulesRate))
+	x.list = storeclient.NewList(cfg.InstanceList.URL, cfg.InstanceList.Service, storeclient.WithTimeout(cfg.Store.Timeout))
+	self := carobbend.Instance{
+		Name: cfg.Instance, Incarnation: x.incarnation, DataCentre: cfg.DataCentre,
+		CallerAddress: x.callers.Addr().String(), PeerAddress: x.peers.Addr().String(),
+	}
+	x.links = linker.New(self, linker.WithList(x.readList), linker.WithObserver(x.observe))
+	x.registration = &registration{list: x.list, every: cfg.InstanceList.Poll, log: x.log, reg: storeclient.Registration{
+		Instance: self, AdminAddress: x.admin.Addr().String(),
+	}}
+	x.rules = distributor.New(x.rulesStore, x.links)
+	x.data = newDataPlane(cfg, x.links, x.rules, x.seed())
+	x.claims = claimer.New(x.store, x.links, claimer.WithStoreTimeout(cfg.Store.Timeout))
+	x.links.AddHandlers(x.rules, x.claims)
+	var upstreams map[string][]carobbend.UpstreamID
+	x.sender, upstreams = newSender(cfg)
+	x.dispatcher = dispatcher.New(dispatcher.Config{
+		// Latencies of operations have nothing in common with those of searches, so they have their own balancer.
+		Claims: x.claims, Sender: x.sender, Balancer: balancer.New(balancer.WithSeed(x.seed())), Rules: x.rules, Upstreams: upstreams,
+	})
+	var err error
+	if x.meter, err = meter.New(x.sources()); err != nil {
+		return err
+	}
+	x.server, err = server.New(x.serverConfig())
+	return err
+}
+
+// seed gives instances that start together different random choices.
+func (x *instance) seed() uint64 { return xxhash.Sum64String(x.incarnation) }
+
+func (x *instance) serverConfig() server.Config {
+	cfg := x.cfg
+	c := server.Config{
+		AdminToken: cfg.Admin.Token, Queries: x.data.executor, Operations: x.dispatcher, Rules: x.rules, Members: x.links,
+		Gate: x.data.gate, Recorder: x.meter, Shards: x.data.shards, Metrics: x.meter.Handler(),
+		InForce: x.rules.Ready, Ready: x.nameable, Announce: x.announce, Status: x.status,
+		Drain: server.DrainTimes{
+			Announce: announceLimit, AddressValidity: cfg.Drain.AddressValidity, IdleBound: idleBound, Limit: cfg.Drain.Limit,
+			// Others read the list at intervals, so a change shows to them later than to a fresh reader.
+			ListLag: cfg.InstanceList.Lag + max(cfg.InstanceList.Poll, linkerRound),
+		},
+	}
+	for _, id := range cfg.Callers {
+		c.Callers = append(c.Callers, server.Identity{Name: id.Name, House: id.House, Token: id.Token})
+	}
+	for _, i := range cfg.Indexes {
+		c.Indexes = append(c.Indexes, i.Name)
+	}
+	for _, o := range cfg.Operations {
+		c.OperationNames = append(c.OperationNames, o.Name)
+	}
+	return c
+}
+
+func (x *instance) sources() meter.Sources {
+	return meter.Sources{
+		ExtraLoad: func() meter.ExtraLoad {
+			c := x.data.executor.Counters()
+			return meter.ExtraLoad{Primaries: c.Primaries, Hedges: c.Hedges, Retries: c.Retries}
+		},
+		StoreCalls:   func() int64 { return total(x.store.Calls()) + total(x.rulesStore.Calls()) },
+		QueueLength:  func() int64 { n, _, _ := x.data.gate.Waiting(); return int64(n) },
+		Running:      func() int64 { _, n, _ := x.data.gate.Waiting(); return int64(n) },
+		RulesVersion: func() int64 { return int64(x.rules.Rules().Version()) },
+		InFlight:     func() int64 { return int64(x.server.InFlight()) },
+		Connections:  func() int64 { return x.data.connector.Counts().Open },
+		Members:      func() int64 { return int64(len(x.links.Live())) },
+		Ready:        func() bool { return x.server.Ready() },
+	}
+}
+
+func total(c storeclient.Calls) int64 { return c.Gets + c.Swaps + c.Watches }
+
+// status adds the counts of the parts to the admin API.
+func (x *instance) status() map[string]any {
+	waiting, running, limit := x.data.gate.Waiting()
+	return map[string]any{
+		"queue":        map[string]int{"waiting": waiting, "running": running, "limit": limit},
+		"executor":     x.data.executor.Counters(),
+		"connections":  x.data.connector.Counts(),
+		"operations":   x.dispatcher.Counts(),
+		"claims":       x.claims.Counts(),
+		"store-calls":  map[string]storeclient.Calls{"claims": x.store.Calls(), "rules": x.rulesStore.Calls()},
+		"list-calls":   x.list.Calls(),
+		"hedge-delays": x.hedgeDelays(),
+	}
+}
+
+func (x *instance) hedgeDelays() map[string]string {
+	out := map[string]string{}
+	for _, i := range x.cfg.Indexes {
+		out[i.Name] = x.data.hedger.Delay(i.Name).String()
+	}
+	return out
+}
+
+// readList reads the instance list for the linker.
+func (x *instance) readList(ctx context.Context) ([]carobbend.Instance, error) {
+	regs, err := x.list.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]carobbend.Instance, 0, len(regs))
+	for _, r := range regs {
+		out = append(out, r.Instance)
+	}
+	return out, nil
+}
+
+// observe brings what this instance tells its peers up to date. The linker calls it with its view locked, so nothing
+// here may ask for members.
+func (x *instance) observe(self *carobbend.Instance) {
+	waiting, running, limit := x.data.gate.Waiting()
+	// Steps of a tenth, since each change is passed on to all peers.
+	load := min(float64(waiting+running)/float64(max(limit, 1)), 1)
+	self.Load = math.Round(load*10) / 10
+	self.RulesVersion, self.Ready = x.rules.Rules().Version(), x.server.Ready()
+}
+
+// nameable reports whether callers may be sent here: rules are confirmed, and the layouts were learned at the start.
+func (x *instance) nameable() bool { return x.rules.Confirmed(time.Now()) && x.isWarm() }
+
+func (x *instance) isWarm() bool {
+	if x.warm.Load() {
+		return true
+	}
+	if time.Since(x.started) < warmLimit {
+		for _, i := range x.cfg.Indexes {
+			layouts := x.data.connector.Layouts(i.Name)
+			if len(layouts) == 0 || layouts[0].Available() < layouts[0].Shards() {
+				return false
+			}
+		}
+	}
+	x.warm.Store(true)
+	return true
+}
+
+func (x *instance) announce(ctx context.Context) error {
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		x.links.SetLeaving(ctx, true)
+	}()
+	err := x.registration.leave(ctx)
+	<-told
+	return err
+}
+
+func (x *instance) addresses() serveReady {
+	return serveReady{x.cfg.Instance, x.callers.Addr().String(), x.admin.Addr().String(), x.peers.Addr().String()}
+}
+
+// ready reports whether this instance is ready and sees n ready instances.
+func (x *instance) ready(n int) bool {
+	for _, i := range x.links.Live() {
+		if i.Ready && !i.Leaving {
+			n--
+		}
+	}
+	return x.server.Ready() && n <= 0
+}
+
+// drain starts the graceful shutdown.
+func (x *instance) drain() { x.server.Drain() }
+
+// run serves until the graceful shutdown is over, and returns nil then. All parts stop together.
+func (x *instance) run() error {
+	var g oklogrun.Group
+	g.Add(x.serve, func(error) { _ = x.server.Close() })
+	for _, part := range []func(context.Context) error{
+		x.links.Run, x.registration.run, x.rules.Run, x.data.connector.Run,
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
+	}
+	g.Add(func() error { return x.links.Serve(x.peers) }, func(error) { _ = x.peers.Close() })
+	err := g.Run()
+	x.close()
+	return err
+}
+
+// serve returns after the graceful shutdown, when results are recorded and the instance has left the list.
+func (x *instance) serve() error {
+	err := x.server.Serve(x.callers, x.admin)
+	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
+	defer cancel()
+	if derr := x.dispatcher.Drain(ctx); derr != nil {
+		x.log.Error(derr, "results of operations were not all recorded")
+	}
+	if werr := x.registration.withdraw(ctx); werr != nil {
+		x.log.Error(werr, "the instance was not withdrawn from the list")
+	}
+	return err
+}
+
+func (x *instance) close() {
+	x.data.connector.Close()
+	x.sender.Close()
+	x.store.Close()
+	x.rulesStore.Close()
+	x.list.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
+	defer cancel()
+	if err := x.meter.Close(ctx); err != nil {
+		x.log.Error(err, "close failed", "part", "meter")
+	}
+}
--- /dev/null
+++ b/cmd/carobbend/process_test.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/emulator"
+	"carobbend.example/carobbend/requester"
+)
+
+// load is what callers saw.
+type load struct {
+	mu         sync.Mutex
+	outcomes   map[carobbend.Outcome]int
+	operations map[string]carobbend.Outcome
+	wrong      []string
+	stats      requester.Stats
+}
+
+// operationEvery is the number of requests for each operation; more would exceed the rate of the store.
+const operationEvery = 40
+
+// startLoad runs callers that query and sometimes run an operation, until stop is called.
+func (f *tier) startLoad(callers int) (stop func() *load) {
+	l := &load{outcomes: map[carobbend.Outcome]int{}, operations: map[string]carobbend.Outcome{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for c := range callers {
+		r := f.requester()
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil && n < 100_000; n++ {
+				if n%operationEvery == 0 {
+					l.operate(r)
+				} else {
+					l.query(r, fmt.Sprintf("text %d %d", c, n))
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+			l.add(r.Stats())
+		})
+	}
+	return func() *load { cancel(); wg.Wait(); return l }
+}
+
+func (l *load) query(r *requester.Requester, text string) {
+	a, err := r.Query(context.Background(), carobbend.QueryRequest{Index: "desk", Text: text, Limit: 5})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.wrong = append(l.wrong, err.Error())
+		return
+	}
+	l.outcomes[a.Outcome]++
+	if fault := wrongItems(a, text, 5); fault != "" {
+		l.wrong = append(l.wrong, fault)
+	}
+}
+
+func (l *load) operate(r *requester.Requester) {
+	res, err := r.Operate(context.Background(), carobbend.OperationRequest{Operation: "book", Body: json.RawMessage(`{}`)})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.wrong = append(l.wrong, err.Error())
+	}
+	l.operations[res.Key] = res.Outcome
+}
+
+func (l *load) add(s requester.Stats) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats.Attempts += s.Attempts
+	l.stats.NotRun += s.NotRun
+	l.stats.Unreachable += s.Unreachable
+	l.stats.CutOff += s.CutOff
+	l.stats.Wrong += s.Wrong
+}
+
+// wrongItems compares an answer with what the stand-ins hold in its snapshot without the missing shards.
+func wrongItems(a carobbend.Answer, text string, limit int) string {
+	missing := map[int]bool{}
+	for _, m := range a.Missing {
+		missing[m.Shard] = true
+	}
+	ref := carobbend.ShardRef{Index: a.Index, Snapshot: a.Snapshot, Shards: a.Total}
+	want := emulator.ExpectedItems(ref, text, limit, missing)
+	if !slices.EqualFunc(a.Items, want, func(x, y carobbend.Item) bool { return x.Key == y.Key && x.Score == y.Score }) {
+		return fmt.Sprintf("%s of snapshot %d: got items %v, want %v", text, a.Snapshot, a.Items, want)
+	}
+	return ""
+}
+
+// check reports wrong answers, and operations whose executions don't agree with their outcome.
+func (f *tier) check(l *load) {
+	f.t.Helper()
+	f.t.Logf("outcomes %v, %d operations, %+v", l.outcomes, len(l.operations), l.stats)
+	for _, w := range l.wrong[:min(len(l.wrong), 5)] {
+		f.t.Errorf("wrong (%d in all): %s", len(l.wrong), w)
+	}
+	if l.stats.Wrong != 0 {
+		f.t.Errorf("replies of other requests or truncated: got %d, want 0", l.stats.Wrong)
+	}
+	ran := f.executions()
+	for key, outcome := range l.operations {
+		n := ran[key]
+		var ok bool
+		switch outcome {
+		case carobbend.OutcomeDone:
+			ok = n == 1
+		case carobbend.OutcomeNotRun:
+			ok = n == 0
+		default:
+			ok = n <= 1
+		}
+		if !ok {
+			f.t.Errorf("operation %s: got %d executions with outcome %s", key, n, outcome)
+		}
+	}
+}
+
+// cli runs a subcommand to its end and returns its output and exit code.
+func (f *tier) cli(args ...string) (string, int) {
+	cmd := exec.Command(program, args...)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+func (f *tier) caller(args ...string) (string, int) {
+	first := ""
+	for _, a := range f.addresses {
+		first = a.Callers
+	}
+	return f.cli(append(args, "--instances", first, "--token", "tester-secret")...)
+}
+
+// Guards against a path from the caller to ten shards and back that drops or invents results, hides a lost shard, or
+// runs an operation twice under one key.
+func TestProcessesAnswerWholeAndTruthfully(t *testing.T) {
+	t.Parallel()
+	f := startTier(t, "leon-1", "leon-2", "leon-3")
+	out, code := f.caller("addresses")
+	for name, a := range f.addresses {
+		if code != exitOK || !strings.Contains(out, a.Callers+"\n") {
+			t.Errorf("addresses: got %d %q, want %s of %s", code, out, a.Callers, name)
+		}
+	}
+	answer := func(wantCode int) (a carobbend.Answer) {
+		t.Helper()
+		out, code := f.caller("query", "desk", "bar stool", "--json")
+		if err := json.NewDecoder(strings.NewReader(out)).Decode(&a); err != nil || code != wantCode {
+			t.Fatalf("query: got code %d, %v, want %d: %s", code, err, wantCode, out)
+		}
+		if fault := wrongItems(a, "bar stool", carobbend.DefaultLimit); fault != "" {
+			t.Error(fault)
+		}
+		return a
+	}
+	if a := answer(exitOK); a.Covered != 10 || a.Total != 10 || a.RulesVersion == 0 {
+		t.Errorf("got %d of %d shards by rules %d, want 10 of 10", a.Covered, a.Total, a.RulesVersion)
+	}
+	f.fault("desk", "failing?on=true&upstream=desk-4-a,desk-4-b,desk-4-c")
+	if a := answer(exitPartial); a.Covered != 9 || len(a.Missing) != 1 || a.Missing[0].Shard != 4 {
+		t.Errorf("got %d shards, missing %v, want 9 without shard 4", a.Covered, a.Missing)
+	}
+	const key = "01JE7Y3Q4N8Z6V5W4X3Y2Z1A0B"
+	for range 2 {
+		if out, code := f.caller("operate", "book", "--key", key, "--body", `{"crew":1}`); code != exitOK || !strings.Contains(out, `"execution":1`) && !strings.Contains(out, `"execution": 1`) {
+			t.Errorf("operate: got %d %s, want the first execution", code, out)
+		}
+	}
+	if out, code := f.caller("operate", "book", "--key", key, "--body", `{"crew":2}`); code != exitFailure || !strings.Contains(out, "conflict") {
+		t.Errorf("other request with the key: got %d %s, want a conflict", code, out)
+	}
+	if got := f.executions()[key]; got != 1 {
+		t.Errorf("executions: got %d, want 1", got)
+	}
+}
+
+// Guards against a shutdown that cuts off requests, is reported as failure, or lets callers run out of instances.
+func TestRollingReplacementCutsOffNothing(t *testing.T) {
+	t.Parallel()
+	f := startTier(t, "leon-1", "leon-2", "leon-3")
+	stop := f.startLoad(8)
+	for i := range 3 {
+		old, next := fmt.Sprintf("leon-%d", i+1), fmt.Sprintf("leon-%d", i+4)
+		f.startInstance(next)
+		f.awaitReady(next, 4)
+		p := f.instances[old]
+		delete(f.addresses, old)
+		p.signal(syscall.SIGTERM)
+		if got := p.exit(); got != exitOK {
+			t.Errorf("%s: got exit code %d, want 0", old, got)
+		}
+	}
+	l := stop()
+	f.check(l)
+	if l.stats.CutOff != 0 || l.stats.Unreachable != 0 || l.outcomes[carobbend.OutcomeNotRun] != 0 {
+		t.Errorf("got %+v with outcomes %v, want no request cut off, unreachable or left not run", l.stats, l.outcomes)
+	}
+	for key, outcome := range l.operations {
+		if outcome != carobbend.OutcomeDone {
+			t.Errorf("operation %s: got %s, want done", key, outcome)
+		}
+	}
+	if l.outcomes[carobbend.OutcomeComplete] == 0 {
+		t.Error("no query was complete")
+	}
+}
+
+// Guards against callers that get no answer when their instance is killed, and operations that run twice on the retry.
+func TestKilledInstance(t *testing.T) {
+	t.Parallel()
+	f := startTier(t, "leon-1", "leon-2", "leon-3")
+	stop := f.startLoad(8)
+	time.Sleep(500 * time.Millisecond)
+	f.instances["leon-2"].signal(syscall.SIGKILL)
+	f.instances["leon-2"].exit()
+	delete(f.addresses, "leon-2")
+	eventually(t, "leon-2 leaves the address answers", func() bool {
+		var members []carobbend.Instance
+		f.admin("leon-1", "/v1/members", &members)
+		return len(members) == 2
+	})
+	l := stop()
+	f.check(l)
+	if l.stats.CutOff+l.stats.Unreachable == 0 {
+		t.Error("no request met the killed instance; the test shows nothing")
+	}
+}
+
+// Guards against an instance that acts on stale claims and views after a pause: late dispatches, wrong answers.
+func TestStoppedAndContinuedInstance(t *testing.T) {
+	t.Parallel()
+	f := startTier(t, "leon-1", "leon-2", "leon-3")
+	stop := f.startLoad(8)
+	for range 3 {
+		f.instances["leon-3"].signal(syscall.SIGSTOP)
+		time.Sleep(1500 * time.Millisecond)
+		f.instances["leon-3"].signal(syscall.SIGCONT)
+		time.Sleep(500 * time.Millisecond)
+	}
+	f.awaitReady("leon-3", 3)
+	f.check(stop())
+}
+
+// Guards against connections to upstreams that went silent and stay in use.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	f := startTier(t, "leon-1", "leon-2")
+	stop := f.startLoad(4)
+	time.Sleep(300 * time.Millisecond)
+	f.fault("desk", "silence")
+	r := f.requester()
+	inRow := 0
+	eventually(t, "20 complete answers in a row", func() bool {
+		a, err := r.Query(t.Context(), carobbend.QueryRequest{Index: "desk", Text: "after silence"})
+		if inRow++; err != nil || a.Outcome != carobbend.OutcomeComplete {
+			inRow = 0
+		}
+		return inRow == 20
+	})
+	f.check(stop())
+}
+
+// Guards against queries that depend on the store, and at-most-once operations that run without a claim.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	f := startTier(t, "leon-1", "leon-2", "leon-3")
+	f.fault("platform", "outage?on=true")
+	r := f.requester()
+	for n := range 20 {
+		if a, err := r.Query(t.Context(), carobbend.QueryRequest{Index: "desk", Text: "outage"}); err != nil || a.Outcome != carobbend.OutcomeComplete {
+			t.Fatalf("query %d: got %+v, %v, want complete", n, a, err)
+		}
+		res, err := r.Operate(t.Context(), carobbend.OperationRequest{Operation: "book"})
+		if err != nil || res.Outcome != carobbend.OutcomeNotRun {
+			t.Fatalf("operation %d: got %+v, %v, want not-run", n, res, err)
+		}
+	}
+	if got := len(f.executions()); got != 0 {
+		t.Errorf("executions: got %d, want 0", got)
+	}
+	f.fault("platform", "outage?on=false")
+	eventually(t, "operations run again", func() bool {
+		res, err := r.Operate(t.Context(), carobbend.OperationRequest{Operation: "book"})
+		return err == nil && res.Outcome == carobbend.OutcomeDone
+	})
+}
--- a/emulator/group.go
+++ b/emulator/group.go
@@ -21,9 +21,9 @@
 	Services int
 	// Replicas is the number of upstreams of each service.
 	Replicas int
-	// Shards is the number of shards of the first snapshots; 0 means Services, less than 0 means that nothing is held.
+	// Shards is the number of shards of the first snapshots; 0 means Services.
 	Shards int
-	// Snapshots is the number of snapshots held at the start, numbered from 1.
+	// Snapshots is the number of snapshots held at the start, numbered from 1; upstreams of operations hold none.
 	Snapshots int
 	// Upstream is the template of all upstreams; ID and Seed are derived.
 	Upstream UpstreamConfig
@@ -122,9 +122,6 @@
 
 // Hold adds a snapshot to all members; shards of 0 means one shard for each service.
 func (g *Group) Hold(snapshot carobbend.SnapshotID, shards int) {
-	if shards < 0 {
-		return
-	}
 	services := max(g.cfg.Services, 1)
 	if shards == 0 {
 		shards = services
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -105,13 +105,11 @@
 // Query returns the answer of the first instance that runs the query. An answer with OutcomeNotRun means that all
 // instances asked refused; OutcomeUnknown means the same after an attempt whose end is not known.
 func (r *Requester) Query(ctx context.Context, q carobbend.QueryRequest) (carobbend.Answer, error) {
-	var reply carobbend.QueryReply
-	maybe, err := r.send(ctx, call{
+	reply, maybe, err := send(ctx, r, call{
 		op: "query", method: http.MethodPost, path: carobbend.PathQuery, body: q, timeout: r.timeout(q.DeadlineMs),
-	}, func() (any, func() error, func() (carobbend.Outcome, []string)) {
-		reply = carobbend.QueryReply{}
-		return &reply, func() error { return checkAnswer(q, reply) },
-			func() (carobbend.Outcome, []string) { return reply.Outcome, reply.OtherAddresses }
+	}, target[carobbend.QueryReply]{
+		check:   func(a carobbend.QueryReply) error { return checkAnswer(q, a) },
+		outcome: func(a carobbend.QueryReply) (carobbend.Outcome, []string) { return a.Outcome, a.OtherAddresses },
 	})
 	if err == nil && maybe && reply.Outcome == carobbend.OutcomeNotRun {
 		reply.Outcome, reply.Detail = carobbend.OutcomeUnknown, unknownDetail+reply.Detail
@@ -125,13 +123,11 @@
 	if op.Key == "" {
 		op.Key = ulid.Make().String()
 	}
-	var reply carobbend.OperationReply
-	maybe, err := r.send(ctx, call{
+	reply, maybe, err := send(ctx, r, call{
 		op: "operation", method: http.MethodPost, path: carobbend.PathOperations, body: op, timeout: r.timeout(op.DeadlineMs),
-	}, func() (any, func() error, func() (carobbend.Outcome, []string)) {
-		reply = carobbend.OperationReply{}
-		return &reply, func() error { return checkResult(op.Key, reply) },
-			func() (carobbend.Outcome, []string) { return reply.Outcome, reply.OtherAddresses }
+	}, target[carobbend.OperationReply]{
+		check:   func(o carobbend.OperationReply) error { return checkResult(op.Key, o) },
+		outcome: func(o carobbend.OperationReply) (carobbend.Outcome, []string) { return o.Outcome, o.OtherAddresses },
 	})
 	if err != nil {
 		return carobbend.OperationResult{Key: op.Key, Outcome: outcomeOf(maybe), Detail: err.Error()}, err
@@ -143,7 +139,7 @@
 }
 
 // unknownDetail explains why a refusal isn't passed on as not-run.
-const unknownDetail = "an earlier attempt ended without a reply; the last one was refused: "
+const unknownDetail = "an attempt ended without a reply; another was refused: "
 
 func outcomeOf(maybeRun bool) carobbend.Outcome {
 	if maybeRun {
@@ -154,13 +150,12 @@
 
 // OperationStatus returns what is known of a key; it starts nothing.
 func (r *Requester) OperationStatus(ctx context.Context, key string) (carobbend.OperationResult, error) {
-	var reply carobbend.OperationReply
-	_, err := r.send(ctx, call{
+	reply, _, err := send(ctx, r, call{
 		op: "operation status", method: http.MethodGet, path: carobbend.PathOperations + "/" + key, timeout: r.cfg.Timeout,
-	}, func() (any, func() error, func() (carobbend.Outcome, []string)) {
-		reply = carobbend.OperationReply{}
-		return &reply, func() error { return checkResult(key, reply) },
-			func() (carobbend.Outcome, []string) { return carobbend.OutcomeDone, nil }
+	}, target[carobbend.OperationReply]{
+		check: func(o carobbend.OperationReply) error { return checkResult(key, o) },
+		// A status of not-run is an answer, not a refusal.
+		outcome: func(carobbend.OperationReply) (carobbend.Outcome, []string) { return carobbend.OutcomeDone, nil },
 	})
 	return reply.OperationResult, err
 }
@@ -182,15 +177,21 @@
 	timeout time.Duration
 }
 
-// target returns a place for a reply, its check, and the outcome with further addresses once it is decoded.
-type target func() (reply any, check func() error, outcome func() (carobbend.Outcome, []string))
+// target says how a reply is checked, and how its outcome and further addresses are read.
+type target[T any] struct {
+	check   func(T) error
+	outcome func(T) (carobbend.Outcome, []string)
+}
 
-// send tries instances in turn until one neither refuses as not-run nor fails to reply. It reports whether an attempt
-// may have run although it ended without a reply.
-func (r *Requester) send(ctx context.Context, c call, t target) (maybeRun bool, err error) {
+// send tries instances in turn until one neither refuses as not-run nor fails to reply. Where none did, it returns
+// the last refusal, or the last error if there was no refusal. It reports whether an attempt may have run although it
+// ended without a reply.
+func send[T any](ctx context.Context, r *Requester, c call, t target[T]) (last T, maybeRun bool, err error) {
 	r.ensure(ctx)
 	candidates := r.book.order(time.Now(), r.cfg.Instances)
 	var tried []string
+	refused := false
+	err = &Error{Op: c.op, Kind: KindConnect, Err: errors.New("no instance is known")}
 	for range r.cfg.Attempts {
 		i := slices.IndexFunc(candidates, func(a string) bool { return !slices.Contains(tried, a) })
 		if i < 0 {
@@ -198,30 +199,31 @@
 		}
 		c.address = candidates[i]
 		tried = append(tried, c.address)
-		reply, check, outcome := t()
 		r.stats.attempts.Add(1)
-		var written bool
-		written, err = r.exchange(ctx, c, reply, check)
-		if err == nil {
-			o, more := outcome()
+		var reply T
+		written, aerr := r.exchange(ctx, c, &reply, func() error { return t.check(reply) })
+		if aerr == nil {
+			last, err = reply, nil
+			o, more := t.outcome(reply)
 			if o != carobbend.OutcomeNotRun {
-				return maybeRun, nil
+				return last, maybeRun, nil
 			}
+			refused = true
 			r.stats.notRun.Add(1)
 			candidates = appendNew(candidates, more)
 			continue
 		}
 		maybeRun = maybeRun || written
+		if !refused {
+			err = aerr
+		}
 		var e *Error
-		if errors.As(err, &e) && e.Kind == KindRefused || ctx.Err() != nil {
-			return maybeRun, err
+		if errors.As(aerr, &e) && e.Kind == KindRefused || ctx.Err() != nil {
+			return last, maybeRun, aerr
 		}
 		r.book.fail(time.Now(), c.address)
 	}
-	if len(tried) == 0 {
-		return false, &Error{Op: c.op, Kind: KindConnect, Err: errors.New("no instance is known")}
-	}
-	return maybeRun, err
+	return last, maybeRun, err
 }
 
 // exchange sends one request and decodes and checks the reply. Written reports, with an error, whether the request
--- a/server/address.go
+++ b/server/address.go
@@ -33,12 +33,16 @@
 
 // ChooseAddresses returns the instances that a caller should use, best first: ready and not leaving, the preferred
 // data centre first, and within one in the order of rendezvous hashing weighted by free capacity. Where no instance
-// is ready, for instance in a long outage of the store, those that still have rules in force are named.
+// is ready, for instance in a long outage of the store, those with a rule file in force are named, or else all that are
+// not leaving.
 func ChooseAddresses(req AddressRequest, instances []carobbend.Instance) carobbend.Addresses {
 	usable := filter(instances, func(i carobbend.Instance) bool { return i.Ready })
 	if len(usable) == 0 {
 		usable = filter(instances, func(i carobbend.Instance) bool { return i.RulesVersion > 0 })
 	}
+	if len(usable) == 0 {
+		usable = filter(instances, func(carobbend.Instance) bool { return true })
+	}
 	type ranked struct {
 		address string
 		near    bool
--- a/server/admin.go
+++ b/server/admin.go
@@ -69,10 +69,7 @@
 
 // Ready reports whether this instance may be named to callers.
 func (s *Server) Ready() bool {
-	if s.Stage() != StageServing || s.cfg.Rules.Rules().Version() == 0 {
-		return false
-	}
-	return s.cfg.Ready == nil || s.cfg.Ready()
+	return s.Stage() == StageServing && (s.cfg.InForce == nil || s.cfg.InForce()) && (s.cfg.Ready == nil || s.cfg.Ready())
 }
 
 // Status returns what the admin API reports.
--- a/server/callers.go
+++ b/server/callers.go
@@ -188,7 +188,7 @@
 			RulesVersion: rules.Version(), Detail: detail,
 		}, reason
 	}
-	if reason, detail := s.refusal(rules); reason != "" {
+	if reason, detail := s.refusal(); reason != "" {
 		return refuse(reason, detail)
 	}
 	cost := 1
@@ -214,11 +214,11 @@
 }
 
 // refusal says why no new work is accepted now; an empty reason accepts it.
-func (s *Server) refusal(rules carobbend.Rules) (Reason, string) {
+func (s *Server) refusal() (Reason, string) {
 	if s.Stage() >= StageRefusing {
 		return ReasonDraining, "this instance is shutting down"
 	}
-	if rules.Version() == 0 {
+	if s.cfg.InForce != nil && !s.cfg.InForce() {
 		return ReasonNotReady, "this instance has no rules in force yet"
 	}
 	return "", ""
@@ -267,7 +267,7 @@
 }
 
 func (s *Server) runOperation(ctx context.Context, op carobbend.Operation) carobbend.OperationResult {
-	if reason, detail := s.refusal(s.cfg.Rules.Rules()); reason != "" {
+	if reason, detail := s.refusal(); reason != "" {
 		if s.cfg.Recorder != nil {
 			s.cfg.Recorder.NotRun(string(reason))
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -64,7 +64,9 @@
 	OperationNames []string
 	// Shards returns the number of shard requests that a query of an index costs; nil counts 1.
 	Shards func(index string) int
-	// Ready reports whether rules are in force; nil means that it is derived from the rules version.
+	// InForce reports whether rules are in force; without them nothing is run. nil means always.
+	InForce func() bool
+	// Ready reports whether this instance may be named to callers while it is serving; nil means always.
 	Ready func() bool
 	// Announce tells peers and the instance list that this instance is leaving; nil does nothing.
 	Announce func(ctx context.Context) error
@@ -151,6 +153,9 @@
 // Drain starts the graceful shutdown and returns at once; Serve returns when it is over.
 func (s *Server) Drain() { s.beginOnce.Do(func() { close(s.begin) }) }
 
+// Close ends all connections at once; Serve returns then. It is for failures, after which a drain makes no sense.
+func (s *Server) Close() error { return errors.Join(s.callerHTTP.Close(), s.adminHTTP.Close()) }
+
 // Serve serves both listeners until the graceful shutdown is over, and returns nil then.
 func (s *Server) Serve(callers, admin net.Listener) error {
 	var g run.Group
