Avoid allocations in the balancer's pick

Cause: each pick allocated four slices. Lists are now copied only where a candidate is passed over, and latencies are sorted only where one is far above the least. No difference in choices; TestShareOfOneReplica and TestPickKeepsFloor are unchanged.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -67,6 +67,8 @@
 	mu    sync.Mutex
 	rng   *rand.Rand
 	nodes map[carobbend.UpstreamID]*node
+	// scratch holds the candidates of the pick in progress.
+	scratch []*node
 }
 
 var _ carobbend.Balancer = (*Balancer)(nil)
@@ -182,14 +184,15 @@
 	return n
 }
 
-// staying returns the candidates that aren't leaving.
+// staying returns the candidates that aren't leaving; the result is valid until the next call.
 func (b *Balancer) staying(now time.Time, ids []carobbend.UpstreamID) []*node {
-	out := make([]*node, 0, len(ids))
+	out := b.scratch[:0]
 	for _, id := range ids {
 		if n := b.node(now, id); !n.leaving {
 			out = append(out, n)
 		}
 	}
+	b.scratch = out
 	return out
 }
 
@@ -206,8 +209,11 @@
 	if j >= i {
 		j++
 	}
-	unknown := max(medianEstimate(nodes), float64(time.Millisecond))
 	x, y := nodes[i], nodes[j]
+	unknown := 0.0
+	if x.samples == 0 || y.samples == 0 {
+		unknown = max(medianEstimate(nodes), float64(time.Millisecond))
+	}
 	sx, sy := x.score(now, unknown, !b.noHint), y.score(now, unknown, !b.noHint)
 	// Differences within the noise of the estimates would send all requests to the same replica.
 	if sy < sx*(1-tieBand) {
@@ -216,11 +222,15 @@
 	return x.id, true
 }
 
+// keep returns the nodes that fulfil f; it allocates only where one doesn't.
 func keep(nodes []*node, f func(*node) bool) []*node {
-	out := make([]*node, 0, len(nodes))
-	for _, n := range nodes {
-		if f(n) {
+	out, all := nodes, true
+	for i, n := range nodes {
+		switch ok := f(n); {
+		case ok && !all:
 			out = append(out, n)
+		case !ok && all:
+			out, all = append(make([]*node, 0, len(nodes)), nodes[:i]...), false
 		}
 	}
 	return out
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -71,8 +71,14 @@
 
 // findOutliers ejects nodes whose latency is far above the median of the others.
 func (b *Balancer) findOutliers(now time.Time, nodes []*node) {
+	least := 0.0
 	for _, n := range nodes {
-		if n.samples < minSamples || now.Before(n.ejectedUntil) {
+		if n.samples >= minSamples && (least == 0 || n.latency < least) {
+			least = n.latency
+		}
+	}
+	for _, n := range nodes {
+		if n.samples < minSamples || n.latency <= outlierFactor*least || now.Before(n.ejectedUntil) {
 			continue
 		}
 		others := make([]*node, 0, len(nodes))
