Let retries return to an asked replica rather than an ejected one

Cause: of 150 shard requests over 45 ms in jylland's straggler scenario, 133 were retries that went to the ejected straggler, since the other replicas had been asked before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -83,17 +83,18 @@
 }
 
 // Pick returns the candidate for a new request. Leaving candidates are never returned; candidates in avoid are
-// returned only where no other candidate is left. Where avoid isn't empty, false may also say that all candidates
+// returned only where no other one is in use. Where avoid isn't empty, false may also say that all candidates
 // are full for now and that it pays to ask again.
 func (b *Balancer) Pick(now time.Time, candidates, avoid []carobbend.UpstreamID) (carobbend.UpstreamID, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	staying := b.staying(now, candidates)
-	fresh := without(staying, avoid)
-	if len(fresh) == 0 {
-		fresh = staying
+	inUse := b.notEjected(now, staying)
+	eligible := without(inUse, avoid)
+	if len(eligible) == 0 {
+		// A replica that was asked before is a better choice than one that is ejected.
+		eligible = inUse
 	}
-	eligible := b.notEjected(now, staying, fresh)
 	if len(avoid) > 0 {
 		// A second request for a shard goes to a replica that isn't shedding and has room, or to none.
 		eligible = keep(eligible, func(n *node) bool {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -180,7 +180,7 @@
 			t.Fatalf("pick: got %q, %v with %d staying, leaving %v", id, ok, staying, leaving)
 		}
 		nodes := b.staying(now, ids)
-		if got, want := len(b.notEjected(now, nodes, nodes)), staying-staying/2; got < want {
+		if got, want := len(b.notEjected(now, nodes)), staying-staying/2; got < want {
 			t.Fatalf("in use: got %d of %d, want at least %d", got, staying, want)
 		}
 	})
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -36,11 +36,11 @@
 	n.failures = maxFailures - 1
 }
 
-// notEjected returns the nodes of fresh that may be chosen. Of all candidates that stay at most half are passed
-// over, the last ejected ones first, so that one always remains.
-func (b *Balancer) notEjected(now time.Time, staying, fresh []*node) []*node {
+// notEjected returns the nodes that are in use. At most half of the candidates are passed over, the last ejected ones
+// first, so that one always remains.
+func (b *Balancer) notEjected(now time.Time, staying []*node) []*node {
 	if b.noEject || len(staying) < 2 {
-		return fresh
+		return staying
 	}
 	b.findOutliers(now, staying)
 	var out []*node
@@ -55,11 +55,11 @@
 		}
 	}
 	if len(out) == 0 {
-		return fresh
+		return staying
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ejectedAt.After(out[j].ejectedAt) })
 	out = out[:min(len(out), len(staying)/2)]
-	return prefer(fresh, func(n *node) bool {
+	return keep(staying, func(n *node) bool {
 		for _, o := range out {
 			if o == n {
 				return false
