--- a/cmd/carobbend/process_test.go
+++ b/cmd/carobbend/process_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os/exec"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/emulator"
 	"carobbend.example/carobbend/requester"
+	"carobbend.example/carobbend/server"
 )
 
 // load is what callers saw.
@@ -271,7 +273,8 @@
 	f.check(stop())
 }
 
-// Guards against queries that depend on the store, and at-most-once operations that run without a claim.
+// Guards against queries that depend on the store, at-most-once operations that run without a claim, an instance that
+// starts without the rules that its peers have, and address answers that are empty in a long outage.
 func TestStoreOutage(t *testing.T) {
 	t.Parallel()
 	f := startTier(t, "leon-1", "leon-2", "leon-3")
@@ -289,6 +292,25 @@
 	if got := len(f.executions()); got != 0 {
 		t.Errorf("executions: got %d, want 0", got)
 	}
+	f.startInstance("leon-4")
+	eventually(t, "leon-4 has the rules of its peers", func() bool {
+		var v server.RulesVersionReply
+		return f.admin("leon-4", "/v1/rules/version", &v) == http.StatusOK && v.RulesVersion == 1
+	})
+	for name := range f.addresses {
+		eventually(t, name+" withdraws", func() bool { return f.admin(name, "/readyz", nil) == http.StatusServiceUnavailable })
+	}
+	// The instances withdraw one by one, and their views follow; no answer may be empty meanwhile.
+	eventually(t, "all four are named for want of a ready one", func() bool {
+		a, err := f.requester().Addresses(t.Context())
+		if err != nil || len(a.Addresses) == 0 {
+			t.Fatalf("addresses in a long outage: got %v, %v, want some", a.Addresses, err)
+		}
+		return len(a.Addresses) == 4
+	})
+	if a, err := r.Query(t.Context(), carobbend.QueryRequest{Index: "desk", Text: "outage"}); err != nil || a.Outcome != carobbend.OutcomeComplete || a.RulesVersion != 1 {
+		t.Errorf("query in a long outage: got %+v, %v, want complete by rules 1", a, err)
+	}
 	f.fault("platform", "outage?on=false")
 	eventually(t, "operations run again", func() bool {
 		res, err := r.Operate(t.Context(), carobbend.OperationRequest{Operation: "book"})
