Let retries return to a replica that shed

Cause: in the straggler scenario with 2 slots each, 133 of 150 shard requests over 45 ms were retries that went to the ejected straggler, since the other replicas had shed before and were barred for the rest of the query.

--- a/planner/shard.go
+++ b/planner/shard.go
@@ -19,7 +19,8 @@
 // shard is the progress of one shard in the current plan.
 type shard struct {
 	replicas []carobbend.UpstreamID
-	// tried lists the replicas asked; barred those that shed, are leaving or lack the snapshot.
+	// tried lists the replicas asked; barred those that are leaving or lack the snapshot. A replica that shed may be
+	// asked again by a retry, since a queue of some milliseconds may have drained meanwhile.
 	tried, barred []carobbend.UpstreamID
 	// wake is when the shard needs attention: a request without capacity, a retry or a hedge.
 	wake time.Duration
@@ -122,7 +123,7 @@
 			s.gone++
 		}
 		s.barred = append(s.barred, a.upstream)
-	case carobbend.FailureShed, carobbend.FailureLeaving:
+	case carobbend.FailureLeaving:
 		s.barred = append(s.barred, a.upstream)
 	default:
 	}
