Kill an instance that has callers in the test of a killed instance

Cause: under -race TestKilledInstance failed once with 'no request met the killed instance'. The test now kills the instance that its first client is told to use, and the check stays.

--- a/cmd/carobbend/harness_test.go
+++ b/cmd/carobbend/harness_test.go
@@ -257,13 +257,16 @@
 	return got
 }
 
-func (f *tier) requester() *requester.Requester {
+func (f *tier) requester() *requester.Requester { return f.requesterOf("") }
+
+// requesterOf returns a requester whose place among the instances depends on the name of the client.
+func (f *tier) requesterOf(client string) *requester.Requester {
 	f.t.Helper()
 	first := make([]string, 0, len(f.addresses))
 	for _, a := range f.addresses {
 		first = append(first, a.Callers)
 	}
-	r, err := requester.New(requester.Config{Instances: first, Token: "tester-secret"})
+	r, err := requester.New(requester.Config{Instances: first, Token: "tester-secret", Client: client})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/cmd/carobbend/process_test.go
+++ b/cmd/carobbend/process_test.go
@@ -37,7 +37,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for c := range callers {
-		r := f.requester()
+		r := f.requesterOf(fmt.Sprintf("client-%d", c))
 		wg.Go(func() {
 			for n := 0; ctx.Err() == nil && n < 100_000; n++ {
 				if n%operationEvery == 0 {
@@ -224,12 +224,25 @@
 	f := startTier(t, "leon-1", "leon-2", "leon-3")
 	stop := f.startLoad(8)
 	time.Sleep(500 * time.Millisecond)
-	f.instances["leon-2"].signal(syscall.SIGKILL)
-	f.instances["leon-2"].exit()
-	delete(f.addresses, "leon-2")
-	eventually(t, "leon-2 leaves the address answers", func() bool {
+	// The instance that the first caller is told to use; another one may have no caller at all.
+	a, err := f.requesterOf("client-0").Addresses(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var killed, other string
+	for name, ready := range f.addresses {
+		if ready.Callers == a.Addresses[0] {
+			killed = name
+		} else {
+			other = name
+		}
+	}
+	f.instances[killed].signal(syscall.SIGKILL)
+	f.instances[killed].exit()
+	delete(f.addresses, killed)
+	eventually(t, killed+" leaves the view of "+other, func() bool {
 		var members []carobbend.Instance
-		f.admin("leon-1", "/v1/members", &members)
+		f.admin(other, "/v1/members", &members)
 		return len(members) == 2
 	})
 	l := stop()
