Send notices every two seconds and measure the cost of a rule change

Change: notices go out every second round, and at once where the own state changed other than its load and rules version.

Open: a change is sent to an instance 2 to 4 times, since watchers and random peers offer it side by side.

--- a/bencher/control.go
+++ b/bencher/control.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +28,8 @@
 // Sizes of the control scenario.
 const (
 	controlDataCentres = 7
+	// controlRules is the number of lines of the rule file.
+	controlRules = 300
 	// controlChanges is the number of rule changes applied while each size is measured.
 	controlChanges = 3
 	// controlWarmUp lets the news of the start pass, which notices carry for 10 s.
@@ -53,6 +56,8 @@
 	CPUPercent     float64       `json:"cpu-percent-of-a-core"`
 	MemoryKiB      float64       `json:"memory-kib"`
 	Goroutines     float64       `json:"goroutines"`
+	ChangeBytes    float64       `json:"peer-bytes-for-a-change"`
+	ValueBytes     int           `json:"bytes-of-the-rules-value"`
 	SpreadSlowest  time.Duration `json:"slowest-change-in-force-ns"`
 	OutageEndCalls int64         `json:"store-calls-in-the-second-after-an-outage-all"`
 }
@@ -87,7 +92,7 @@
 }
 
 func controlSize(ctx context.Context, n int, d time.Duration) (ControlRow, error) {
-	before := memory()
+	idleMemory := memory()
 	f, err := newControlFleet(ctx, n)
 	if err != nil {
 		return ControlRow{}, err
@@ -103,8 +108,9 @@
 	}
 	row := ControlRow{Instances: n}
 	f.measure(ctx, &row, d)
-	row.MemoryKiB = float64(memory()-before) / 1024 / float64(n)
+	row.MemoryKiB = float64(memory()-idleMemory) / 1024 / float64(n)
 	row.Goroutines = float64(runtime.NumGoroutine()) / float64(n)
+	before, begin := f.bytes(), time.Now()
 	for range controlChanges {
 		took, err := f.change(ctx)
 		if err != nil {
@@ -112,6 +118,11 @@
 		}
 		row.SpreadSlowest = max(row.SpreadSlowest, took)
 	}
+	idle := row.Bytes * time.Since(begin).Seconds()
+	row.ChangeBytes = (float64(f.bytes()-before)/float64(n) - idle) / controlChanges
+	if e, err := f.store.Get(ctx, publisher.Key); err == nil {
+		row.ValueBytes = len(e.Value)
+	}
 	row.OutageEndCalls = f.outage(ctx)
 	return row, nil
 }
@@ -192,7 +203,7 @@
 	}
 	version := current.GetVersion()
 	req := publisher.Request{File: "bench", From: version, FromStated: true, Who: "bench"}
-	req.Text = fmt.Sprintf("share house-a %d # asked by the bench\n", version+1)
+	req.Text = controlText(version)
 	begin := time.Now()
 	res, err := p.Apply(ctx, req)
 	if err != nil {
@@ -210,6 +221,16 @@
 	return 0, fmt.Errorf("a version wasn't in force everywhere within %v", controlLimit)
 }
 
+// controlText is a rule file in which one line depends on the version.
+func controlText(version uint64) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "share house-a %d # asked by the bench\n", version%1000+1)
+	for i := range controlRules {
+		fmt.Fprintf(&b, "class caller caller-%03d first # asked by the bench\n", i)
+	}
+	return b.String()
+}
+
 func (f *controlFleet) lowest() uint64 {
 	lowest := ^uint64(0)
 	for _, x := range f.nodes {
@@ -285,15 +306,15 @@
 			once.Do(func() { failed = err })
 		}
 	}
-	line("instances\tstore calls/s (all)\tlist reads/s (all)\tpeer bytes/s\tCPU %% of a core\tmemory KiB\tgoroutines\tchange in force\tcalls in 1 s after outage (all)\t\n")
+	line("instances\tstore calls/s (all)\tlist reads/s (all)\tpeer bytes/s\tCPU %% of a core\tmemory KiB\tgoroutines\tbytes for a change\tvalue bytes\tchange in force\tcalls in 1 s after outage (all)\t\n")
 	for _, r := range rows {
-		line("%d\t%.1f\t%.1f\t%.0f\t%.3f\t%.0f\t%.1f\t%v\t%d\t\n", r.Instances, r.StoreCallsAll, r.ListReadsAll,
-			r.Bytes, r.CPUPercent, r.MemoryKiB, r.Goroutines, r.SpreadSlowest.Round(time.Millisecond), r.OutageEndCalls)
+		line("%d\t%.1f\t%.1f\t%.0f\t%.3f\t%.0f\t%.1f\t%.0f\t%d\t%v\t%d\t\n", r.Instances, r.StoreCallsAll, r.ListReadsAll,
+			r.Bytes, r.CPUPercent, r.MemoryKiB, r.Goroutines, r.ChangeBytes, r.ValueBytes, r.SpreadSlowest.Round(time.Millisecond), r.OutageEndCalls)
 	}
 	if n := len(rows); n > 1 {
 		a, b := rows[0], rows[n-1]
 		per := float64(b.Instances - a.Instances)
-		line("slope\t%.3f\t%.3f\t%.2f\t%.5f\t%.2f\t\t\t%.2f\t\n", (b.StoreCallsAll-a.StoreCallsAll)/per,
+		line("slope\t%.3f\t%.3f\t%.2f\t%.5f\t%.2f\t\t\t\t\t%.2f\t\n", (b.StoreCallsAll-a.StoreCallsAll)/per,
 			(b.ListReadsAll-a.ListReadsAll)/per, (b.Bytes-a.Bytes)/per, (b.CPUPercent-a.CPUPercent)/per,
 			(b.MemoryKiB-a.MemoryKiB)/per, float64(b.OutageEndCalls-a.OutageEndCalls)/per)
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -1,7 +1,7 @@
 // Package linker connects an instance with the others over yamux links and keeps its view of them.
 //
 // The platform's instance list lags. Each instance therefore sends notices of its own state to a few random peers
-// each second and to all of them when it leaves, and passes on recent changes of others. A link that makes no
+// every two seconds and to all of them when it leaves, and passes on recent changes of others. A link that makes no
 // progress is closed and opened anew with the next request. Links are opened on demand and closed when idle, so
 // that an instance holds few of them even among many instances.
 //
@@ -28,8 +28,10 @@
 )
 
 const (
-	// interval is the time between two rounds of notices.
-	interval = time.Second
+	// interval is the time between two rounds; notices go out each noticeRounds rounds, and at once where the own
+	// state changed.
+	interval     = time.Second
+	noticeRounds = 2
 	// fanout is the number of peers that each round reaches; news passes through n instances in about
 	// log(n)/log(fanout+1) rounds.
 	fanout = 2
@@ -165,8 +167,8 @@
 	last := k.now()
 	t := time.NewTicker(interval)
 	defer t.Stop()
-	for {
-		k.round(ctx)
+	for n := 0; ; n++ {
+		k.round(ctx, n)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -183,8 +185,8 @@
 	}
 }
 
-// round reads the list, sends notices to a few random peers and reports the view.
-func (k *Linker) round(ctx context.Context) {
+// round reads the list, reports the view and, if they are due, sends notices to a few random peers.
+func (k *Linker) round(ctx context.Context, n int) {
 	k.readList(ctx)
 	k.mu.Lock()
 	before := k.view.self
@@ -192,13 +194,17 @@
 	if k.view.self != before {
 		k.view.self.Sequence++
 	}
+	due := n%noticeRounds == 0 || differs(before, k.view.self)
 	live := k.view.instances(k.now(), false)
 	k.mu.Unlock()
 	k.onChange(live)
+	k.closeIdle()
+	if !due {
+		return
+	}
 	peers := append([]carobbend.Instance(nil), live...)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	k.notify(ctx, peers[:min(fanout+1, len(peers))])
-	k.closeIdle()
 }
 
 func (k *Linker) readList(ctx context.Context) {
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -46,7 +46,7 @@
 	b, _ := start(t, "b", WithList(func(context.Context) ([]carobbend.Instance, error) {
 		return []carobbend.Instance{a.Self()}, nil
 	}))
-	b.round(t.Context())
+	b.round(t.Context(), 0)
 	if got, ok := find(a.Live(), "b"); !ok || got.Leaving {
 		t.Fatalf("a's view of b: got %+v, %v, want live", got, ok)
 	}
