Keep the number of live instances for the share of connections

Cause: the connector asks for its share of connections with each shard request, and the share asked the linker, which locks, copies and sorts the members each time.

Until the instance list was read once, the largest number of instances of today counts instead of the own view, which would hold this instance alone and give it too large a share.

--- a/cmd/carobbend/dataplane.go
+++ b/cmd/carobbend/dataplane.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"sync/atomic"
+
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/admitter"
 	"carobbend.example/carobbend/balancer"
@@ -27,7 +29,7 @@
 	budget    *hedger.Budget
 }
 
-func newDataPlane(cfg *settings.Settings, members carobbend.Members, rules carobbend.RulesSource, seed uint64) *dataPlane {
+func newDataPlane(cfg *settings.Settings, size *tierSize, rules carobbend.RulesSource, seed uint64) *dataPlane {
 	slots := map[carobbend.UpstreamID]int{}
 	var ups []connector.Upstream
 	for _, x := range cfg.Indexes {
@@ -40,11 +42,11 @@
 	}
 	limits := limiter.New(
 		limiter.WithSlots(func(id carobbend.UpstreamID) int { return slots[id] }),
-		limiter.WithInstances(func() int { return len(members.Live()) }),
+		limiter.WithInstances(size.instances),
 	)
 	b := balancer.New(balancer.WithSeed(seed), balancer.WithLimits(limits))
 	c := connector.New(
-		ups, connector.WithProtocol(cfg.Upstream.Protocol), connector.WithConns(limiter.NewConns(members)),
+		ups, connector.WithProtocol(cfg.Upstream.Protocol), connector.WithConns(size),
 		connector.WithConnectTimeout(cfg.Upstream.ConnectTimeout), connector.WithProgressTimeout(cfg.Upstream.ProgressTimeout),
 		connector.WithStatusPoll(cfg.Upstream.StatusPoll), connector.WithLeaving(b.Leaving),
 	)
@@ -79,9 +81,27 @@
 	return m
 }
 
-// largestFleet is the number of instances for which the connections of operations are shared out. They are few, so a
-// fixed share for the 6 to 8 instances of today is enough.
-const largestFleet = 8
+// largestTier is the number of instances of today at most. Connections of operations are shared out for it, and those
+// of searches until the instance list was read.
+const largestTier = 8
+
+// tierSize is the number of live instances as of the last round of the linker. It is asked with each shard request,
+// which must not copy and sort the members each time. It implements carobbend.Conns.
+type tierSize struct{ n atomic.Int64 }
+
+var _ carobbend.Conns = (*tierSize)(nil)
+
+func (s *tierSize) set(n int) { s.n.Store(int64(n)) }
+
+func (s *tierSize) instances() int {
+	if n := s.n.Load(); n > 0 {
+		return int(n)
+	}
+	return largestTier
+}
+
+// Share implements carobbend.Conns.
+func (s *tierSize) Share(limit int) int { return limiter.Share(limit, s.instances()) }
 
 // newSender returns the sender of operations and the upstreams of each.
 func newSender(cfg *settings.Settings) (*sender.Sender, map[string][]carobbend.UpstreamID) {
@@ -89,7 +109,7 @@
 	byName := map[string][]carobbend.UpstreamID{}
 	share := 0
 	for _, op := range cfg.Operations {
-		if n := limiter.Share(op.Connections, largestFleet); share == 0 || n < share {
+		if n := limiter.Share(op.Connections, largestTier); share == 0 || n < share {
 			share = n
 		}
 		for _, u := range op.Upstreams {
--- a/cmd/carobbend/instance.go
+++ b/cmd/carobbend/instance.go
@@ -60,6 +60,8 @@
 	incarnation string
 	started     time.Time
 	warm        atomic.Bool
+	listed      atomic.Bool
+	size        tierSize
 
 	store        *storeclient.Client
 	rulesStore   *storeclient.Client
@@ -124,12 +126,12 @@
 		Name: cfg.Instance, Incarnation: x.incarnation, DataCentre: cfg.DataCentre,
 		CallerAddress: x.callers.Addr().String(), PeerAddress: x.peers.Addr().String(),
 	}
-	x.links = linker.New(self, linker.WithList(x.readList), linker.WithObserver(x.observe))
+	x.links = linker.New(self, linker.WithList(x.readList), linker.WithObserver(x.observe), linker.WithOnChange(x.membersChanged))
 	x.registration = &registration{list: x.list, every: cfg.InstanceList.Poll, log: x.log, reg: storeclient.Registration{
 		Instance: self, AdminAddress: x.admin.Addr().String(),
 	}}
 	x.rules = distributor.New(x.rulesStore, x.links)
-	x.data = newDataPlane(cfg, x.links, x.rules, x.seed())
+	x.data = newDataPlane(cfg, &x.size, x.rules, x.seed())
 	x.claims = claimer.New(x.store, x.links, claimer.WithStoreTimeout(cfg.Store.Timeout))
 	x.links.AddHandlers(x.rules, x.claims)
 	var upstreams map[string][]carobbend.UpstreamID
@@ -225,9 +227,18 @@
 	for _, r := range regs {
 		out = append(out, r.Instance)
 	}
+	x.listed.Store(true)
 	return out, nil
 }
 
+// membersChanged is told the live instances after each round of the linker. A view without the list holds too few, so
+// it would give this instance too large a share of the connections.
+func (x *instance) membersChanged(live []carobbend.Instance) {
+	if x.listed.Load() {
+		x.size.set(len(live))
+	}
+}
+
 // observe brings what this instance tells its peers up to date. The linker calls it with its view locked, so nothing
 // here may ask for members.
 func (x *instance) observe(self *carobbend.Instance) {
