--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -67,6 +67,8 @@
 	mu    sync.Mutex
 	rng   *rand.Rand
 	nodes map[carobbend.UpstreamID]*node
+	// scratch holds the candidates of the pick in progress.
+	scratch []*node
 }
 
 var _ carobbend.Balancer = (*Balancer)(nil)
@@ -81,17 +83,18 @@
 }
 
 // Pick returns the candidate for a new request. Leaving candidates are never returned; candidates in avoid are
-// returned only where no other candidate is left. Where avoid isn't empty, false may also say that all candidates
+// returned only where no other one is in use. Where avoid isn't empty, false may also say that all candidates
 // are full for now and that it pays to ask again.
 func (b *Balancer) Pick(now time.Time, candidates, avoid []carobbend.UpstreamID) (carobbend.UpstreamID, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	staying := b.staying(now, candidates)
-	fresh := without(staying, avoid)
-	if len(fresh) == 0 {
-		fresh = staying
+	inUse := b.notEjected(now, staying)
+	eligible := without(inUse, avoid)
+	if len(eligible) == 0 {
+		// A replica that was asked before is a better choice than one that is ejected.
+		eligible = inUse
 	}
-	eligible := b.notEjected(now, staying, fresh)
 	if len(avoid) > 0 {
 		// A second request for a shard goes to a replica that isn't shedding and has room, or to none.
 		eligible = keep(eligible, func(n *node) bool {
@@ -182,14 +185,15 @@
 	return n
 }
 
-// staying returns the candidates that aren't leaving.
+// staying returns the candidates that aren't leaving; the result is valid until the next call.
 func (b *Balancer) staying(now time.Time, ids []carobbend.UpstreamID) []*node {
-	out := make([]*node, 0, len(ids))
+	out := b.scratch[:0]
 	for _, id := range ids {
 		if n := b.node(now, id); !n.leaving {
 			out = append(out, n)
 		}
 	}
+	b.scratch = out
 	return out
 }
 
@@ -206,8 +210,11 @@
 	if j >= i {
 		j++
 	}
-	unknown := max(medianEstimate(nodes), float64(time.Millisecond))
 	x, y := nodes[i], nodes[j]
+	unknown := 0.0
+	if x.samples == 0 || y.samples == 0 {
+		unknown = max(medianEstimate(nodes), float64(time.Millisecond))
+	}
 	sx, sy := x.score(now, unknown, !b.noHint), y.score(now, unknown, !b.noHint)
 	// Differences within the noise of the estimates would send all requests to the same replica.
 	if sy < sx*(1-tieBand) {
@@ -216,11 +223,15 @@
 	return x.id, true
 }
 
+// keep returns the nodes that fulfil f; it allocates only where one doesn't.
 func keep(nodes []*node, f func(*node) bool) []*node {
-	out := make([]*node, 0, len(nodes))
-	for _, n := range nodes {
-		if f(n) {
+	out, all := nodes, true
+	for i, n := range nodes {
+		switch ok := f(n); {
+		case ok && !all:
 			out = append(out, n)
+		case !ok && all:
+			out, all = append(make([]*node, 0, len(nodes)), nodes[:i]...), false
 		}
 	}
 	return out
