Doubt suspicions that prove wrong and poll the status less often

Cause: 'connections suspected silent' stood in nearly every log of the process tests without any silent connection, since a reply slower than 20 ms on two pools was enough; each time the idle connections were closed. Separately, an idle instance with 75 upstreams used 6.8 and 5.4% of a core, over the bound of 2.2%; 150 status reads a second were the bulk of it.

Ruled out: a probe on a new connection; a slow upstream answers it at once.

Change: new connections aren't suspected; a suspicion after which the reply arrives doubles the age for the next one, up to 16 times; suspicion spreads to all pools when an eighth of them is suspected. The status is read each 1.5 s, which still finds a leaving upstream within 3 s.

The rest over 2.2% remains open: about 0.45 ms of processor time for each status read.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -20,13 +20,16 @@
 const (
 	defaultConnectTimeout = 250 * time.Millisecond
 	defaultProgress       = 300 * time.Millisecond
-	defaultStatusPoll     = 500 * time.Millisecond
-	idleTimeout           = 90 * time.Second
+	// defaultStatusPoll finds an upstream that is leaving within the bound of 3 s, jitter and time-outs included.
+	defaultStatusPoll = 1500 * time.Millisecond
+	idleTimeout       = 90 * time.Second
 	// maxDials bounds the connections that are being opened at a time.
 	maxDials = 64
-	// suspectWindow and suspectPools say when suspicion spreads to all pools.
+	// suspectWindow, suspectPools and suspectShare say when suspicion spreads to all pools: at least suspectPools and
+	// one in suspectShare of them must be suspected within the window.
 	suspectWindow = 250 * time.Millisecond
 	suspectPools  = 2
+	suspectShare  = 8
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
@@ -74,7 +77,7 @@
 // WithProgressTimeout bounds the time without a byte on a request; the default is 300 ms.
 func WithProgressTimeout(d time.Duration) Option { return func(c *Connector) { c.progress = d } }
 
-// WithStatusPoll sets the time between two status reads of an upstream; the default is 500 ms.
+// WithStatusPoll sets the time between two status reads of an upstream; the default is 1.5 s.
 func WithStatusPoll(d time.Duration) Option { return func(c *Connector) { c.statusPoll = d } }
 
 // WithLeaving sets the function that is told whether an upstream is leaving.
@@ -141,12 +144,13 @@
 		}
 	}
 	c.suspicions = append(recent, now)
-	spread := len(c.suspicions) == suspectPools
+	needed := max(suspectPools, len(c.pools)/suspectShare)
+	spread := len(c.suspicions) == needed
 	c.suspectMu.Unlock()
 	if !spread {
 		return
 	}
-	c.log.Info("connections suspected silent", "pools", suspectPools, "window", suspectWindow)
+	c.log.Info("connections suspected silent", "pools", needed, "window", suspectWindow)
 	for _, p := range c.pools {
 		p.refresh(now.Add(-minSuspicion))
 	}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -21,6 +21,9 @@
 	suspicionFactor = 4
 	// suspicionPause bounds how often the idle connections of a pool are closed.
 	suspicionPause = time.Second
+	// maxFalseAlarms bounds the doublings of the suspicion age after suspicions that proved wrong. Without them an
+	// overloaded upstream would lose its idle connections each second.
+	maxFalseAlarms = 4
 	// latencyWeight is the weight of a new sample in the smoothed latency.
 	latencyWeight = 0.1
 )
@@ -39,7 +42,9 @@
 	lastByte  atomic.Int64
 	suspected atomic.Int64
 	latency   atomic.Int64
-	gone      atomic.Bool
+	// falseAlarms counts the suspicions in a row after which the reply arrived all the same.
+	falseAlarms atomic.Int64
+	gone        atomic.Bool
 }
 
 func newPool(c *Connector, up Upstream) *pool {
@@ -136,21 +141,32 @@
 
 // suspicionAge is the age at which a request without progress raises suspicion.
 func (p *pool) suspicionAge() time.Duration {
-	return min(max(minSuspicion, suspicionFactor*time.Duration(p.latency.Load())), p.c.progress)
+	age := max(minSuspicion, suspicionFactor*time.Duration(p.latency.Load()))
+	return min(age<<min(p.falseAlarms.Load(), maxFalseAlarms), p.c.progress)
 }
 
-// check is called when a request reached the suspicion age without a reply. The pool is suspected if none of its
-// connections received a byte since the request began.
-func (p *pool) check(begin, now time.Time) {
+// check is called when a request on a used connection reached the suspicion age without a reply. The pool is suspected
+// if none of its connections received a byte since the request began. It reports whether suspicion was raised.
+func (p *pool) check(begin, now time.Time) bool {
 	if p.lastByte.Load() >= begin.UnixNano() {
-		return
+		return false
 	}
 	last := p.suspected.Load()
 	if now.UnixNano()-last < int64(suspicionPause) || !p.suspected.CompareAndSwap(last, now.UnixNano()) {
-		return
+		return false
 	}
 	p.transport.CloseIdleConnections()
 	p.c.poolSuspected(now)
+	return true
+}
+
+// confirmed records whether a suspicion was right.
+func (p *pool) confirmed(right bool) {
+	if right {
+		p.falseAlarms.Store(0)
+		return
+	}
+	p.falseAlarms.Add(1)
 }
 
 // refresh closes idle connections if none received a byte since a given time.
--- a/connector/send.go
+++ b/connector/send.go
@@ -34,6 +34,10 @@
 	conn  atomic.Pointer[net.Conn]
 	wrote atomic.Bool
 	began atomic.Bool
+	// reused says that the connection carried an earlier request; a new one isn't suspected.
+	reused atomic.Bool
+	// suspected says that this request raised suspicion.
+	suspected atomic.Bool
 }
 
 // Send implements carobbend.Upstreams.
@@ -58,8 +62,8 @@
 	defer cancel(nil)
 	a := &attempt{p: p, begin: time.Now()}
 	suspicion := time.AfterFunc(p.suspicionAge(), func() {
-		if !a.began.Load() {
-			p.check(a.begin, time.Now())
+		if a.reused.Load() && !a.began.Load() && p.check(a.begin, time.Now()) {
+			a.suspected.Store(true)
 		}
 	})
 	defer suspicion.Stop()
@@ -84,9 +88,19 @@
 
 func (a *attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn:              func(info httptrace.GotConnInfo) { nc := info.Conn; a.conn.Store(&nc) },
-		WroteHeaders:         func() { a.wrote.Store(true) },
-		GotFirstResponseByte: func() { a.began.Store(true); a.p.progressed(time.Since(a.begin)) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			nc := info.Conn
+			a.conn.Store(&nc)
+			a.reused.Store(info.Reused)
+		},
+		WroteHeaders: func() { a.wrote.Store(true) },
+		GotFirstResponseByte: func() {
+			a.began.Store(true)
+			a.p.progressed(time.Since(a.begin))
+			if a.suspected.Load() {
+				a.p.confirmed(false)
+			}
+		},
 	}
 }
 
@@ -217,6 +231,7 @@
 	id := a.p.up.ID
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errNoProgress):
+		a.p.confirmed(true)
 		return sendError(id, carobbend.FailureSilent, cause)
 	case errors.Is(cause, context.DeadlineExceeded):
 		return sendError(id, carobbend.FailureDeadline, err)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -150,7 +150,7 @@
 	DefaultProtocol            = "http1"
 	DefaultConnectTimeout      = 250 * time.Millisecond
 	DefaultProgressTimeout     = 300 * time.Millisecond
-	DefaultStatusPoll          = 500 * time.Millisecond
+	DefaultStatusPoll          = 1500 * time.Millisecond
 	DefaultQueueLength         = 64
 	DefaultQueueConcurrency    = 64
 	DefaultAddressValidity     = 10 * time.Second
