Record the next queries of an index as traces through the admin API

Cause: replayer could record a planner, but a running instance had no way to use it; a query that went wrong couldn't be replayed.

Change: executor asks an optional Recorder for the state machine of a query; without one it uses a planner. replayer.Tracer implements it: POST /v1/traces?index=NAME&queries=N records the next N queries that run, GET returns finished traces as JSON.

Ruled out: recording up to the last late reply, since a trace would then stay open as long as a silent upstream; a ring of all queries, which isn't free.

Cost when off: one atomic load for a query and calls through an interface.

--- a/cmd/carobbend/dataplane.go
+++ b/cmd/carobbend/dataplane.go
@@ -8,6 +8,7 @@
 	"carobbend.example/carobbend/executor"
 	"carobbend.example/carobbend/hedger"
 	"carobbend.example/carobbend/limiter"
+	"carobbend.example/carobbend/replayer"
 	"carobbend.example/carobbend/sender"
 	"carobbend.example/carobbend/settings"
 )
@@ -25,6 +26,7 @@
 	gate      *admitter.Gate
 	hedger    *hedger.Hedger
 	budget    *hedger.Budget
+	traces    *replayer.Tracer
 }
 
 func newDataPlane(cfg *settings.Settings, members carobbend.Members, rules carobbend.RulesSource, seed uint64) *dataPlane {
@@ -48,10 +50,11 @@
 		connector.WithConnectTimeout(cfg.Upstream.ConnectTimeout), connector.WithProgressTimeout(cfg.Upstream.ProgressTimeout),
 		connector.WithStatusPoll(cfg.Upstream.StatusPoll), connector.WithLeaving(b.Leaving),
 	)
-	p := &dataPlane{connector: c, budget: hedger.NewBudget()}
+	p := &dataPlane{connector: c, budget: hedger.NewBudget(), traces: &replayer.Tracer{}}
 	p.hedger = hedger.New(hedger.WithBudget(p.budget))
 	p.executor = executor.New(executor.Config{
 		Upstreams: c, Catalog: c, Balancer: b, Hedger: p.hedger, Budget: p.budget, Rules: rules, Seed: seed,
+		Recorder: p.traces,
 	})
 	n := cfg.Queue.Concurrency
 	p.gate = admitter.NewGate(admitter.New(
--- a/cmd/carobbend/instance.go
+++ b/cmd/carobbend/instance.go
@@ -154,7 +154,7 @@
 	c := server.Config{
 		AdminToken: cfg.Admin.Token, Queries: x.data.executor, Operations: x.dispatcher, Rules: x.rules, Members: x.links,
 		Gate: x.data.gate, Recorder: x.meter, Shards: x.data.shards, Metrics: x.meter.Handler(),
-		InForce: x.rules.Ready, Ready: x.nameable, Announce: x.announce, Status: x.status,
+		InForce: x.rules.Ready, Ready: x.nameable, Announce: x.announce, Status: x.status, Traces: x.data.traces,
 		Drain: server.DrainTimes{
 			Announce: announceLimit, AddressValidity: cfg.Drain.AddressValidity, IdleBound: idleBound, Limit: cfg.Drain.Limit,
 			// Others read the list at intervals, so a change shows to them later than to a fresh reader.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/planner"
@@ -27,6 +28,22 @@
 	Rules carobbend.RulesSource
 	// Seed fixes the jitter of retries.
 	Seed uint64
+	// Recorder may take the place of the planner of a query; nil records nothing.
+	Recorder Recorder
+}
+
+// Machine is the state machine of one query: a planner.Planner, or one that records the events of a planner.
+type Machine interface {
+	Handle(now time.Time, ev planner.Event) *planner.Effects
+	NextTimer() time.Time
+	Done() bool
+	Stats() planner.Stats
+}
+
+// Recorder chooses the queries that are recorded. It is called for each query, from many goroutines.
+type Recorder interface {
+	// Record returns the machine of a query that is to be recorded, or nil for any other.
+	Record(cfg planner.Config) Machine
 }
 
 // Counters counts shard requests since the start.
@@ -82,6 +99,16 @@
 	return *r.answer
 }
 
+// machine returns the planner of a query, or the recorder around it.
+func (x *Executor) machine(cfg planner.Config) Machine {
+	if x.cfg.Recorder != nil {
+		if m := x.cfg.Recorder.Record(cfg); m != nil {
+			return m
+		}
+	}
+	return planner.New(cfg)
+}
+
 func (x *Executor) rules() carobbend.Rules {
 	if x.cfg.Rules == nil {
 		return nil
--- a/executor/run.go
+++ b/executor/run.go
@@ -23,7 +23,7 @@
 	start, tick, gone node
 	ticking           atomic.Bool
 
-	planner *planner.Planner
+	planner Machine
 	// counted is the part of the planner's counts that the executor has taken over.
 	counted  planner.Stats
 	attempts []*attempt
@@ -37,7 +37,7 @@
 	r.start.event.Kind = planner.EventStart
 	r.tick.event.Kind = planner.EventTimer
 	r.gone.event.Kind = planner.EventCancel
-	r.planner = planner.New(planner.Config{
+	r.planner = x.machine(planner.Config{
 		Query: q, Catalog: x.cfg.Catalog, Balancer: x.cfg.Balancer, Hedger: x.cfg.Hedger, Budget: x.cfg.Budget,
 		Rules: x.rules(), Seed: x.cfg.Seed + x.sequence.Add(1),
 	})
--- a/server/admin.go
+++ b/server/admin.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/replayer"
 )
 
 // RulesVersionReply is the body of GET /v1/rules/version.
@@ -43,6 +45,10 @@
 	})
 	g.GET("/members", func(c echo.Context) error { return c.JSON(http.StatusOK, s.cfg.Members.Live()) })
 	g.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Status()) })
+	if s.cfg.Traces != nil {
+		g.POST("/traces", s.postTraces)
+		g.GET("/traces", func(c echo.Context) error { return c.JSON(http.StatusOK, s.cfg.Traces.Recording()) })
+	}
 	g.POST("/drain", func(c echo.Context) error {
 		s.log.Info("drain requested by the admin API")
 		s.Drain()
@@ -51,6 +57,21 @@
 	return e
 }
 
+// postTraces records the next queries of an index and drops the traces of the last recording.
+func (s *Server) postTraces(c echo.Context) error {
+	index, text := c.QueryParam("index"), c.QueryParam("queries")
+	if !s.indexes[index] {
+		return badRequest("index: %q is not in the settings", index)
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > replayer.MaxTraces {
+		return badRequest("queries: expected 1 to %d, got %q", replayer.MaxTraces, text)
+	}
+	s.cfg.Traces.Start(index, n)
+	s.log.Info("recording queries", "index", index, "queries", n)
+	return c.JSON(http.StatusAccepted, s.cfg.Traces.Recording())
+}
+
 func (s *Server) authenticateAdmin(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if _, err := s.admin.find(c.Request()); err != nil {
--- a/server/doc.go
+++ b/server/doc.go
@@ -4,6 +4,9 @@
 // admin API has its own listener and token. Both listeners stay open during a graceful shutdown, which runs in
 // stages so that no caller loses a request: see Stage.
 //
+// POST /v1/traces?index=NAME&queries=N of the admin API records the next N queries of an index, and GET /v1/traces
+// returns them; each element "trace" is a file for the replay command. Nothing is recorded before the first POST.
+//
 // # Usage
 //
 //	s, err := server.New(server.Config{Queries: exec, Operations: dispatcher, Rules: dist, Members: links})
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/logger"
+	"carobbend.example/carobbend/replayer"
 )
 
 // Gate admits queries before they run.
@@ -74,6 +75,8 @@
 	Metrics http.Handler
 	// Status adds to the reply of GET /v1/status; nil adds nothing.
 	Status func() map[string]any
+	// Traces records queries for POST and GET /v1/traces; nil serves 404.
+	Traces *replayer.Tracer
 	Drain  DrainTimes
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/replayer"
 )
 
 type fakeRules struct{ carobbend.Rules }
@@ -64,7 +65,7 @@
 	s, err := New(Config{
 		Callers:    []Identity{{"desk", "leon", "token-one"}, {"portal", "crowded", "token-two"}},
 		AdminToken: "admin-token", Queries: runner, Operations: fakeOperations{}, Rules: fakeSource{}, Members: fakeMembers{},
-		Gate: fakeGate{}, Indexes: []string{"sales-desk"}, OperationNames: []string{"book"}, Drain: DrainTimes{AddressValidity: time.Second},
+		Gate: fakeGate{}, Indexes: []string{"sales-desk"}, OperationNames: []string{"book"}, Drain: DrainTimes{AddressValidity: time.Second}, Traces: &replayer.Tracer{},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -173,6 +174,13 @@
 		{"GET", "/v1/rules/version", "admin-token", 200, `{"instance":"i0","rules-version":3,"ready":false}`},
 		{"GET", "/v1/members", "admin-token", 200, `"name":"i2"`},
 		{"POST", "/v1/drain", "", 401, "admin token"},
+		{"POST", "/v1/traces?index=sales-desk&queries=2", "token-one", 401, "admin token"},
+		{"GET", "/v1/traces", "token-one", 401, "admin token"},
+		{"POST", "/v1/traces?index=x&queries=2", "admin-token", 400, "not in the settings"},
+		{"POST", "/v1/traces?index=sales-desk&queries=33", "admin-token", 400, "expected 1 to 32"},
+		{"POST", "/v1/traces?index=sales-desk", "admin-token", 400, "expected 1 to 32"},
+		{"GET", "/v1/traces", "admin-token", 200, `"queries":0`},
+		{"POST", "/v1/traces?index=sales-desk&queries=2", "admin-token", 202, `"waiting":2`},
 		{"GET", "/v1/status", "admin-token", 200, `"stage":"refusing"`},
 	} {
 		if w := do(s.adminHTTP.Handler, tt.method, tt.path, tt.token, ""); w.Code != tt.status || !strings.Contains(w.Body.String(), tt.want) {
