Close gaps in the tests of balancer and admitter

Cause: 7 of 42 mutations, each of which removes one mechanism, passed the tests: the tie band, the fading and the end of a reported load, the pass over full replicas, the outlier ejection, the return to an asked replica, and the credit of sparse houses. No test was relaxed.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -112,6 +112,7 @@
 	flood := func(n int) {
 		for range n {
 			a.Offer(start, ticket("flood", 0, 10))
+			a.Offer(start, ticket("another", 0, 10))
 		}
 	}
 	next := func() string {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -78,6 +78,42 @@
 		{name: "slow and cut requests eject", high: 0, setUp: func(b *Balancer, now time.Time) time.Time {
 			return feed(b, now, "c", 20, 15*ms, carobbend.FailureCanceled)
 		}},
+		{
+			name: "differences within the noise don't decide", low: n / 4, high: n / 2,
+			setUp: func(b *Balancer, now time.Time) time.Time { return feed(b, now, "c", 50, 42*ms/10, "") },
+		},
+		{
+			name: "second request mostly waits for a full replica", low: n / 10, high: n / 3, avoid: three[:2],
+			setUp: func(b *Balancer, now time.Time) time.Time {
+				for _, id := range three {
+					b.Finished(now, id, 4*ms, "", busyLoad)
+				}
+				return now
+			},
+		},
+		{
+			name: "retry returns to an asked replica rather than an ejected one", high: 0, avoid: three[:2],
+			setUp: func(b *Balancer, now time.Time) time.Time {
+				return feed(b, now, "c", maxFailures, ms, carobbend.FailureBroken)
+			},
+		},
+		{
+			name: "latency outlier is ejected though the others are loaded", high: 0,
+			setUp: func(b *Balancer, now time.Time) time.Time {
+				now = feed(b, now, "c", 10, 40*ms, "")
+				for range 30 {
+					b.Sent(now, "a")
+					b.Sent(now, "b")
+				}
+				return now
+			},
+		},
+		{
+			name: "reported load fades", low: n / 5, high: n / 2, setUp: func(b *Balancer, now time.Time) time.Time {
+				b.Finished(now, "c", 4*ms, "", 1)
+				return now.Add(3 * hintWindow)
+			},
+		},
 		{name: "shed is passed over", high: 0, setUp: func(b *Balancer, now time.Time) time.Time {
 			return feed(b, now, "c", 1, ms, carobbend.FailureShed)
 		}},
@@ -126,6 +162,17 @@
 	}
 }
 
+// Guards against a reported load that counts for longer than a second.
+func TestHintAgesOut(t *testing.T) {
+	n := &node{load: 1, loadAt: start}
+	if got := n.hint(start.Add(hintLifetime)); got != 0 {
+		t.Errorf("hint after %v: got %v, want 0", hintLifetime, got)
+	}
+	if got, want := n.hint(start), 1.0; got != want {
+		t.Errorf("hint at once: got %v, want %v", got, want)
+	}
+}
+
 // Guards against an ejected replica that is never tried again or whose back-off doesn't grow.
 func TestEjectionBackOff(t *testing.T) {
 	b, now := warm(4*time.Millisecond, three)
