Compare a latency with the other replicas' baseline for ejection

Now an upstream is ejected at 4 times the others' baseline, which rises slowly, if it is also twice as slow as they are.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -100,6 +100,9 @@
 		{
 			name: "latency outlier is ejected though the others are loaded", high: 0,
 			setUp: func(b *Balancer, now time.Time) time.Time {
+				for _, id := range three[:2] {
+					now = feed(b, now, id, 50, 15*ms, "")
+				}
 				now = feed(b, now, "c", 10, 40*ms, "")
 				for range 30 {
 					b.Sent(now, "a")
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -13,8 +13,10 @@
 	minRamp = 0.1
 	// maxFailures is the number of consecutive failures that ejects an upstream.
 	maxFailures = 3
-	// outlierFactor is how far above the median of the other candidates a latency ejects an upstream.
-	outlierFactor = 5
+	// outlierFactor is how far above the median baseline of the other candidates a latency ejects an upstream, if it
+	// is also slowerFactor times their median latency.
+	outlierFactor = 4
+	slowerFactor  = 2
 	// minSamples is the number of observations before a latency can eject an upstream.
 	minSamples = 3
 	// ejectionBase and ejectionMax bound the back-off, which doubles from one ejection to the next.
@@ -69,16 +71,11 @@
 	})
 }
 
-// findOutliers ejects nodes whose latency is far above the median of the others.
+// findOutliers ejects nodes whose latency is far above the others'. The others' baseline counts, since they slow down
+// too when they take over the requests of a straggler.
 func (b *Balancer) findOutliers(now time.Time, nodes []*node) {
-	least := 0.0
 	for _, n := range nodes {
-		if n.samples >= minSamples && (least == 0 || n.latency < least) {
-			least = n.latency
-		}
-	}
-	for _, n := range nodes {
-		if n.samples < minSamples || n.latency <= outlierFactor*least || now.Before(n.ejectedUntil) {
+		if n.samples < minSamples || now.Before(n.ejectedUntil) || !suspect(n, nodes) {
 			continue
 		}
 		others := make([]*node, 0, len(nodes))
@@ -87,18 +84,35 @@
 				others = append(others, o)
 			}
 		}
-		if m := medianEstimate(others); m > 0 && n.latency > outlierFactor*m {
+		latency := func(o *node) float64 { return o.latency }
+		baseline := func(o *node) float64 { return o.baseline }
+		if n.latency > outlierFactor*median(others, baseline) && n.latency > slowerFactor*median(others, latency) {
 			n.eject(now, b.rng)
 		}
 	}
 }
 
+// suspect reports whether n may be an outlier; it spares the medians where no other node is much faster.
+func suspect(n *node, nodes []*node) bool {
+	for _, o := range nodes {
+		if o != n && o.samples >= minSamples && n.latency > outlierFactor*o.baseline {
+			return true
+		}
+	}
+	return false
+}
+
 // medianEstimate returns the lower median of the observed latencies in nanoseconds, or 0.
 func medianEstimate(nodes []*node) float64 {
+	return median(nodes, func(n *node) float64 { return n.latency })
+}
+
+// median returns the lower median of what f returns for nodes with observations, or 0.
+func median(nodes []*node, f func(*node) float64) float64 {
 	l := make([]float64, 0, len(nodes))
 	for _, n := range nodes {
 		if n.samples > 0 {
-			l = append(l, n.latency)
+			l = append(l, f(n))
 		}
 	}
 	if len(l) == 0 {
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -14,6 +14,8 @@
 	// minWeight and maxWeight bound the weight of one observation, whatever the time since the last one.
 	minWeight = 0.05
 	maxWeight = 0.3
+	// baselineRise is the share of the difference by which the baseline follows a smoothed latency above it.
+	baselineRise = 0.002
 	// tieBand is the relative difference between two scores that counts as equal.
 	tieBand = 0.15
 	// penaltyWindow is the time constant with which the penalty of failures fades.
@@ -46,7 +48,9 @@
 	id       carobbend.UpstreamID
 	inFlight int
 	// latency is the smoothed latency in nanoseconds; 0 where none was observed.
-	latency    float64
+	latency float64
+	// baseline is the latency without load: it falls with the smoothed latency at once and rises slowly.
+	baseline   float64
 	samples    int
 	observedAt time.Time
 	penalty    float64
@@ -118,12 +122,17 @@
 
 func (n *node) observe(now time.Time, latency float64) {
 	if n.samples == 0 {
-		n.latency = latency
+		n.latency, n.baseline = latency, latency
 	} else {
 		w := 1 - math.Exp(-float64(now.Sub(n.observedAt))/float64(latencyWindow))
 		w = min(max(w, minWeight), maxWeight)
 		n.latency += w * (latency - n.latency)
 	}
+	if n.latency < n.baseline {
+		n.baseline = n.latency
+	} else {
+		n.baseline += baselineRise * (n.latency - n.baseline)
+	}
 	n.samples++
 	n.observedAt = now
 }
