--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -97,13 +97,24 @@
 				return feed(b, now, "c", maxFailures, ms, carobbend.FailureBroken)
 			},
 		},
+		{
+			name: "replicas that are slow as a whole stay in use", low: n / 4, high: n * 9 / 20,
+			setUp: func(b *Balancer, now time.Time) time.Time {
+				for range 50 {
+					for _, id := range three {
+						now = feed(b, now, id, 1, 40*ms, "")
+					}
+				}
+				return now
+			},
+		},
 		{
 			name: "latency outlier is ejected though the others are loaded", high: 0,
 			setUp: func(b *Balancer, now time.Time) time.Time {
 				for _, id := range three[:2] {
 					now = feed(b, now, id, 50, 15*ms, "")
 				}
-				now = feed(b, now, "c", 10, 40*ms, "")
+				now = feed(b, now, "c", 50, 40*ms, "")
 				for range 30 {
 					b.Sent(now, "a")
 					b.Sent(now, "b")
