--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &rules{deadline: b.cfg.Deadline, shares: map[string]int{}}
-	if b.policy[partHedge] || b.policy[partRetry] {
+	if b.policy[partBudget] {
 		r.extra = extraLoad
 	}
 	demand := make([]float64, 0, len(b.deployment.houses))
--- a/bencher/policy.go
+++ b/bencher/policy.go
@@ -24,7 +24,7 @@
 	partSlowStart = "slow-start"
 	partHint      = "hint"
 	partHedge     = "hedge"
-	partRetry     = "retry"
+	partBudget    = "budget"
 	partScarce    = "scarce"
 	partLimit     = "limit"
 	partAdmit     = "admit"
@@ -32,7 +32,7 @@
 
 // Parts lists what a policy name may switch on with +PART or off with -PART.
 var Parts = []string{
-	partBalance, partEject, partSlowStart, partHint, partHedge, partRetry, partScarce, partLimit, partAdmit,
+	partBalance, partEject, partSlowStart, partHint, partHedge, partBudget, partScarce, partLimit, partAdmit,
 }
 
 // policy is the set of parts that are on.
@@ -90,11 +90,11 @@
 		out.balancer = balancer.New(p.balancerOptions(d, seed)...)
 	}
 	var budget *hedger.Budget
-	if p[partRetry] || p[partHedge] {
+	if p[partBudget] {
 		budget = hedger.NewBudget()
 		out.budget = budget
 	}
-	if p[partHedge] {
+	if p[partHedge] && p[partBudget] {
 		opts := []hedger.Option{}
 		if p[partScarce] {
 			opts = append(opts, hedger.WithBudget(budget))
--- a/cmd/carobbend/bench.go
+++ b/cmd/carobbend/bench.go
@@ -16,7 +16,7 @@
 type benchCmd struct {
 	Scenario   string        `help:"Load and faults: healthy, straggler, lost-replica, repartition, silent, drain, cold-start, lying-load, overload or restart; control measures rules and membership without queries." default:"healthy"`
 	Deployment string        `help:"Upstreams and delays: bajio or jylland." default:"bajio"`
-	Policy     []string      `help:"Policies to alternate: naive or full, followed by +PART or -PART; parts are balance, eject, slow-start, hint, hedge, retry, scarce, limit and admit." default:"naive,full"`
+	Policy     []string      `help:"Policies to alternate: naive or full, followed by +PART or -PART; parts are balance, eject, slow-start, hint, budget, hedge, scarce, limit and admit. Without the budget nothing is hedged or retried." default:"naive,full"`
 	Duration   time.Duration `help:"Measured time for each policy." default:"10s"`
 	Rounds     int           `help:"Rounds into which the duration is divided; the policies take turns." default:"2"`
 	Load       float64       `help:"Part of the slots in use, from 0 to 3; the scenario overload sets its own." default:"0.6"`
