Make the shed cases of the HTTP dispatcher test wait for the right request

The probe that waits for the only slot to be taken could hold it for a moment; the request that is to occupy the slot was then shed and ended, so the probe never saw a taken slot.

Change: the occupying request is repeated while it is shed.

--- a/dispatcher/http_test.go
+++ b/dispatcher/http_test.go
@@ -141,7 +141,12 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, _ = u.Execute(ctx, carobbend.Operation{Key: "occupies"})
+		for {
+			// The probe below may hold the slot for a moment.
+			if _, err := u.Execute(ctx, carobbend.Operation{Key: "occupies"}); carobbend.KindOf(err) != carobbend.FailureShed {
+				return
+			}
+		}
 	}()
 	// A canceled probe is shed as soon as the slot is taken.
 	probe, stop := context.WithCancel(t.Context())
