Notice upstreams of operations that are leaving

Cause: only upstreams of indexes were polled, and a successful reply to an operation doesn't reach the balancer's leaving state. An upstream of operations that was leaving, but still served, would have received operations until it refused them.

Ruled out: a second poller in package sender; the connector's does the same.

Result: TestLeavingUpstreamOfOperationsIsNoticed gets no notice without the upstreams of operations in the poll, and one with them.

--- a/cmd/carobbend/dataplane.go
+++ b/cmd/carobbend/dataplane.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/admitter"
@@ -31,17 +32,9 @@
 	traces    *replayer.Tracer
 }
 
-func newDataPlane(cfg *settings.Settings, size *tierSize, rules carobbend.RulesSource, seed uint64) *dataPlane {
-	slots := map[carobbend.UpstreamID]int{}
-	var ups []connector.Upstream
-	for _, x := range cfg.Indexes {
-		for _, u := range x.Upstreams {
-			if _, ok := slots[u.ID]; !ok {
-				ups = append(ups, connector.Upstream{ID: u.ID, Address: u.Address, Connections: x.Connections})
-			}
-			slots[u.ID] = x.Slots
-		}
-	}
+// newDataPlane puts the path of queries together. The balancer of operations is told of leaving upstreams, too.
+func newDataPlane(cfg *settings.Settings, size *tierSize, rules carobbend.RulesSource, operations carobbend.Balancer, seed uint64) *dataPlane {
+	ups, slots := polledUpstreams(cfg)
 	limits := limiter.New(
 		limiter.WithSlots(func(id carobbend.UpstreamID) int { return slots[id] }),
 		limiter.WithInstances(size.instances),
@@ -50,7 +43,10 @@
 	c := connector.New(
 		ups, connector.WithProtocol(cfg.Upstream.Protocol), connector.WithConns(size),
 		connector.WithConnectTimeout(cfg.Upstream.ConnectTimeout), connector.WithProgressTimeout(cfg.Upstream.ProgressTimeout),
-		connector.WithStatusPoll(cfg.Upstream.StatusPoll), connector.WithLeaving(b.Leaving),
+		connector.WithStatusPoll(cfg.Upstream.StatusPoll), connector.WithLeaving(func(now time.Time, id carobbend.UpstreamID, leaving bool) {
+			b.Leaving(now, id, leaving)
+			operations.Leaving(now, id, leaving)
+		}),
 	)
 	p := &dataPlane{connector: c, budget: hedger.NewBudget(), traces: &replayer.Tracer{}}
 	p.hedger = hedger.New(hedger.WithBudget(p.budget))
@@ -67,6 +63,28 @@
 	return p
 }
 
+// polledUpstreams returns all upstreams and the slots of each. Those of operations hold no shards, but their status
+// tells that they are leaving.
+func polledUpstreams(cfg *settings.Settings) ([]connector.Upstream, map[carobbend.UpstreamID]int) {
+	slots := map[carobbend.UpstreamID]int{}
+	var ups []connector.Upstream
+	add := func(us []settings.UpstreamAddress, n, connections int) {
+		for _, u := range us {
+			if _, ok := slots[u.ID]; !ok {
+				ups = append(ups, connector.Upstream{ID: u.ID, Address: u.Address, Connections: connections})
+			}
+			slots[u.ID] = n
+		}
+	}
+	for _, x := range cfg.Indexes {
+		add(x.Upstreams, x.Slots, x.Connections)
+	}
+	for _, x := range cfg.Operations {
+		add(x.Upstreams, x.Slots, x.Connections)
+	}
+	return ups, slots
+}
+
 // shards returns the number of shard requests that a query of an index costs now.
 func (p *dataPlane) shards(index string) int {
 	layouts := p.connector.Layouts(index)
--- /dev/null
+++ b/cmd/carobbend/dataplane_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/emulator"
+	"carobbend.example/carobbend/parser"
+	"carobbend.example/carobbend/settings"
+)
+
+// leavingRecorder passes on what a balancer is told of leaving upstreams.
+type leavingRecorder struct {
+	carobbend.Balancer
+	told chan carobbend.UpstreamID
+}
+
+func (r leavingRecorder) Leaving(_ time.Time, id carobbend.UpstreamID, leaving bool) {
+	if leaving {
+		r.told <- id
+	}
+}
+
+type noRules struct{}
+
+func (noRules) Rules() carobbend.Rules { return &parser.Ruleset{} }
+
+// Guards against an upstream of operations that goes on receiving them while it is leaving, since only the upstreams of
+// indexes were watched.
+func TestLeavingUpstreamOfOperationsIsNoticed(t *testing.T) {
+	u := emulator.NewUpstream(emulator.UpstreamConfig{ID: "dispatch-a", Slots: 1})
+	u.SetLeaving(true)
+	srv := httptest.NewServer(u)
+	defer srv.Close()
+	cfg := &settings.Settings{Operations: []settings.Operation{{
+		Name: "confirm-order", Slots: 1, Connections: 30,
+		Upstreams: []settings.UpstreamAddress{{ID: u.ID(), Address: strings.TrimPrefix(srv.URL, "http://")}},
+	}}}
+	cfg.Queue.Concurrency = 1
+	cfg.Upstream.ConnectTimeout, cfg.Upstream.ProgressTimeout = time.Minute, time.Minute
+	cfg.Upstream.StatusPoll = time.Millisecond
+	r := leavingRecorder{told: make(chan carobbend.UpstreamID, 1)}
+	p := newDataPlane(cfg, &tierSize{}, noRules{}, r, 1)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- p.connector.Run(ctx) }()
+	select {
+	case got := <-r.told:
+		if got != u.ID() {
+			t.Errorf("leaving: got %s, want %s", got, u.ID())
+		}
+	case err := <-stopped:
+		t.Fatalf("poll ended (%v): got no notice, want one of %s", err, u.ID())
+	}
+	cancel()
+	if err := <-stopped; !errors.Is(err, context.Canceled) {
+		t.Errorf("poll: got %v, want %v", err, context.Canceled)
+	}
+}
--- a/cmd/carobbend/instance.go
+++ b/cmd/carobbend/instance.go
@@ -131,14 +131,15 @@
 		Instance: self, AdminAddress: x.admin.Addr().String(),
 	}}
 	x.rules = distributor.New(x.rulesStore, x.links)
-	x.data = newDataPlane(cfg, &x.size, x.rules, x.seed())
+	// Latencies of operations have nothing in common with those of searches, so they have their own balancer.
+	operations := balancer.New(balancer.WithSeed(x.seed()))
+	x.data = newDataPlane(cfg, &x.size, x.rules, operations, x.seed())
 	x.claims = claimer.New(x.store, x.links, claimer.WithStoreTimeout(cfg.Store.Timeout))
 	x.links.AddHandlers(x.rules, x.claims)
 	var upstreams map[string][]carobbend.UpstreamID
 	x.sender, upstreams = newSender(cfg)
 	x.dispatcher = dispatcher.New(dispatcher.Config{
-		// Latencies of operations have nothing in common with those of searches, so they have their own balancer.
-		Claims: x.claims, Sender: x.sender, Balancer: balancer.New(balancer.WithSeed(x.seed())), Rules: x.rules, Upstreams: upstreams,
+		Claims: x.claims, Sender: x.sender, Balancer: operations, Rules: x.rules, Upstreams: upstreams,
 	})
 	var err error
 	if x.meter, err = meter.New(x.sources()); err != nil {
