Read from the instance list which upstreams are leaving

Cause: upstreams were watched by their status and replies alone, whose state lags or misleads; the instance list says it too, and may say it first.

Ruled out: the last word to either source; a lagging one would undo the other. An upstream is leaving while one source says so.

Result: TestListAndStatusAreJoined and TestListedUpstreamIsNoticed; the first gets further changes of state without the joined state.

--- a/cmd/carobbend/dataplane_test.go
+++ b/cmd/carobbend/dataplane_test.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/connector"
 	"carobbend.example/carobbend/emulator"
 	"carobbend.example/carobbend/parser"
 	"carobbend.example/carobbend/settings"
+	"carobbend.example/carobbend/storeclient"
 )
 
 // leavingRecorder passes on what a balancer is told of leaving upstreams.
@@ -64,3 +66,32 @@
 		t.Errorf("poll: got %v, want %v", err, context.Canceled)
 	}
 }
+
+// Guards against an upstream that only the instance list marks as leaving.
+func TestListedUpstreamIsNoticed(t *testing.T) {
+	list := emulator.NewList()
+	list.Register(emulator.Service{ID: "dispatch-a", Name: settings.DefaultUpstreamService, Address: "127.0.0.1", Port: 1})
+	list.SetLeaving("dispatch-a", true)
+	srv := httptest.NewServer(list)
+	defer srv.Close()
+	told := make(chan carobbend.UpstreamID, 1)
+	c := connector.New([]connector.Upstream{{ID: "dispatch-a", Address: "127.0.0.1:1", Connections: 1}},
+		connector.WithLeaving(leavingRecorder{told: told}.Leaving))
+	u := &upstreamList{list: storeclient.NewList(srv.URL, settings.DefaultUpstreamService), every: time.Millisecond, connector: c}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- u.run(ctx) }()
+	select {
+	case got := <-told:
+		if got != "dispatch-a" {
+			t.Errorf("leaving: got %s, want dispatch-a", got)
+		}
+	case err := <-stopped:
+		t.Fatalf("reading ended (%v): got no notice, want one", err)
+	}
+	cancel()
+	if err := <-stopped; err != nil {
+		t.Errorf("reading: got %v, want nil", err)
+	}
+}
--- a/cmd/carobbend/instance.go
+++ b/cmd/carobbend/instance.go
@@ -66,6 +66,7 @@
 	store        *storeclient.Client
 	rulesStore   *storeclient.Client
 	list         *storeclient.List
+	upstreams    *upstreamList
 	links        *linker.Linker
 	registration *registration
 	rules        *distributor.Distributor
@@ -134,6 +135,10 @@
 	// Latencies of operations have nothing in common with those of searches, so they have their own balancer.
 	operations := balancer.New(balancer.WithSeed(x.seed()))
 	x.data = newDataPlane(cfg, &x.size, x.rules, operations, x.seed())
+	x.upstreams = &upstreamList{
+		list:  storeclient.NewList(cfg.InstanceList.URL, cfg.InstanceList.UpstreamService, storeclient.WithTimeout(cfg.Store.Timeout)),
+		every: cfg.InstanceList.Poll, connector: x.data.connector, log: x.log,
+	}
 	x.claims = claimer.New(x.store, x.links, claimer.WithStoreTimeout(cfg.Store.Timeout))
 	x.links.AddHandlers(x.rules, x.claims)
 	var upstreams map[string][]carobbend.UpstreamID
@@ -302,7 +307,7 @@
 	var g oklogrun.Group
 	g.Add(x.serve, func(error) { _ = x.server.Close() })
 	for _, part := range []func(context.Context) error{
-		x.links.Run, x.registration.run, x.rules.Run, x.data.connector.Run,
+		x.links.Run, x.registration.run, x.rules.Run, x.data.connector.Run, x.upstreams.run,
 	} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
@@ -333,6 +338,7 @@
 	x.store.Close()
 	x.rulesStore.Close()
 	x.list.Close()
+	x.upstreams.list.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
 	defer cancel()
 	if err := x.meter.Close(ctx); err != nil {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -246,3 +247,30 @@
 		}
 	}
 }
+
+// Guards against an upstream that the list marks as leaving and that gets new work again since its own lagging status
+// doesn't say so.
+func TestListAndStatusAreJoined(t *testing.T) {
+	u, up := startUpstream(t, nil)
+	var got []bool
+	c := connector.New([]connector.Upstream{up}, connector.WithLeaving(func(_ time.Time, _ carobbend.UpstreamID, leaving bool) {
+		got = append(got, leaving)
+	}))
+	defer c.Close()
+	send := func() {
+		if _, err := c.Send(t.Context(), "u", request("q-1")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send()
+	c.SetListed(time.Now(), map[carobbend.UpstreamID]bool{"u": true})
+	send()
+	u.SetLeaving(true)
+	send()
+	c.SetListed(time.Now(), nil)
+	u.SetLeaving(false)
+	send()
+	if want := []bool{true, false}; !slices.Equal(got, want) {
+		t.Errorf("states told: got %v, want %v", got, want)
+	}
+}
--- a/connector/poller.go
+++ b/connector/poller.go
@@ -23,7 +23,7 @@
 			c.statusFailed(p.up.ID)
 		} else {
 			c.statusRead(now, p.up.ID, status.Holdings)
-			p.setLeaving(now, status.Leaving)
+			p.stateLeaving(now, status.Leaving)
 		}
 		t := time.NewTimer(c.statusPoll*3/4 + rand.N(c.statusPoll/2))
 		select {
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -44,7 +44,7 @@
 	latency   atomic.Int64
 	// falseAlarms counts the suspicions in a row after which the reply arrived all the same.
 	falseAlarms atomic.Int64
-	gone        atomic.Bool
+	leaving     leavingState
 }
 
 func newPool(c *Connector, up Upstream) *pool {
--- a/connector/send.go
+++ b/connector/send.go
@@ -132,7 +132,7 @@
 func (c *Connector) read(ctx context.Context, a *attempt, req carobbend.ShardRequest, resp *http.Response) (carobbend.ShardReply, error) {
 	id := a.p.up.ID
 	leaving := resp.Header.Get(HeaderUpstreamState) == StateLeaving
-	a.p.setLeaving(time.Now(), leaving)
+	a.p.stateLeaving(time.Now(), leaving)
 	if got := resp.Header.Get(HeaderRequestID); got != req.ID && resp.StatusCode != http.StatusBadRequest {
 		c.mismatched.Add(1)
 		a.closeConn()
@@ -250,14 +250,6 @@
 	}
 }
 
-// setLeaving reports a change of the upstream's state.
-func (p *pool) setLeaving(now time.Time, leaving bool) {
-	if p.gone.Swap(leaving) != leaving {
-		p.c.log.Info("upstream state changed", "upstream", p.up.ID, "leaving", leaving)
-		p.c.leaving(now, p.up.ID, leaving)
-	}
-}
-
 func sendError(id carobbend.UpstreamID, kind carobbend.FailureKind, err error) error {
 	return &carobbend.SendError{Upstream: id, Kind: kind, Err: err}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -80,6 +80,8 @@
 	URL string `yaml:"url" validate:"required,http_url"`
 	// Service is the name under which instances are listed.
 	Service string `yaml:"service"`
+	// UpstreamService is the name under which upstreams are listed, by their ids.
+	UpstreamService string `yaml:"upstream-service"`
 	// Poll is the time between two reads.
 	Poll time.Duration `yaml:"poll" validate:"gte=0"`
 	// Lag is the longest time that the list takes to show a change.
@@ -145,6 +147,7 @@
 	DefaultStoreCallsPerSecond = 40
 	DefaultStoreTimeout        = 500 * time.Millisecond
 	DefaultInstanceService     = "carobbend"
+	DefaultUpstreamService     = "upstreams"
 	DefaultListPoll            = time.Second
 	DefaultListLag             = 3 * time.Second
 	DefaultProtocol            = "http1"
@@ -168,6 +171,7 @@
 	orDefault(&s.Store.CallsPerSecond, DefaultStoreCallsPerSecond)
 	orDefault(&s.Store.Timeout, DefaultStoreTimeout)
 	orDefault(&s.InstanceList.Service, DefaultInstanceService)
+	orDefault(&s.InstanceList.UpstreamService, DefaultUpstreamService)
 	orDefault(&s.InstanceList.Poll, DefaultListPoll)
 	orDefault(&s.InstanceList.Lag, DefaultListLag)
 	orDefault(&s.Upstream.Protocol, DefaultProtocol)
