Refuse operations during the test of kills and pauses

Change: the store loses three replies in each round and fails in every third one until 80 replies said not-run. The test now fails if no key was only refused.

--- a/cmd/carobbend/operations_test.go
+++ b/cmd/carobbend/operations_test.go
@@ -34,6 +34,8 @@
 	mostKeys     = 2000
 	// doneBetweenFaults is the number of done replies from one fault to the next, so that most keys see a working tier.
 	doneBetweenFaults = 40
+	// refusedInOutage is the number of not-run replies in an outage of the store; some keys get no other reply.
+	refusedInOutage = 80
 )
 
 // keyHistory is what the callers learned of one key.
@@ -53,6 +55,7 @@
 	unclear   int
 	replayed  int
 	done      int
+	notRun    int
 }
 
 func (k *keyCallers) set(name, address string) {
@@ -91,6 +94,19 @@
 	return k.unclear, k.done
 }
 
+// awaitNotRun waits for n more replies that say not-run.
+func (k *keyCallers) awaitNotRun(n int) {
+	k.t.Helper()
+	k.mu.Lock()
+	want := k.notRun + n
+	k.mu.Unlock()
+	eventually(k.t, "operations are refused", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.notRun >= want
+	})
+}
+
 // awaitUnclear waits for one more unclear reply than before.
 func (k *keyCallers) awaitUnclear(before int) {
 	k.t.Helper()
@@ -143,6 +159,8 @@
 		k.t.Errorf("operation %s: got a reply %+v, want one for this key without a conflict", key, r)
 	case r.Outcome == carobbend.OutcomeUnknown:
 		k.unclear++
+	case r.Outcome == carobbend.OutcomeNotRun:
+		k.notRun++
 	case r.Outcome == carobbend.OutcomeDone:
 		k.done++
 		h.bodies = append(h.bodies, string(r.Body))
@@ -182,8 +200,8 @@
 		}
 	}
 	k.t.Logf("seed %d: %d keys, %d done, %d only refused, %d unclear replies, %d replayed", operationsSeed, len(k.keys), done, refused, k.unclear, k.replayed)
-	if done == 0 || k.unclear == 0 || k.replayed == 0 {
-		k.t.Error("no operation was done, unclear or replayed; the test shows nothing")
+	if done == 0 || refused == 0 || k.unclear == 0 || k.replayed == 0 {
+		k.t.Error("no operation was done, only refused, unclear or replayed; the test shows nothing about it")
 	}
 }
 
@@ -214,7 +232,8 @@
 }
 
 // Guards against operations that run twice, run although all replies said not-run, or are reported done without a run,
-// while instances are killed and paused and callers repeat what was unclear through other instances.
+// while instances are killed and paused, the store loses replies and fails, and callers repeat what was unclear or
+// refused through other instances.
 func TestOperationsRunAtMostOnceThroughKillsAndPauses(t *testing.T) {
 	t.Parallel()
 	f := startTier(t, "leon-1", "leon-2", "leon-3")
@@ -236,6 +255,13 @@
 		victim := names[i]
 		_, done := k.soFar()
 		eventually(t, "operations between two faults", func() bool { _, n := k.soFar(); return n >= done+doneBetweenFaults })
+		// The store commits these writes and doesn't say so.
+		f.fault("platform", "lose-replies?n=3")
+		if round%3 == 2 {
+			f.fault("platform", "outage?on=true")
+			k.awaitNotRun(refusedInOutage)
+			f.fault("platform", "outage?on=false")
+		}
 		f.awaitInFlight(victim)
 		unclear, _ := k.soFar()
 		if round%2 == 1 {
