State the reason of unreadiness in /readyz

Cause: an instance without rules replied "not ready: serving", since the stage of the shutdown was the only reason given.

Result: TestStartAloneWithoutStoreIsNotReady asks for the reason; it fails with the reply of before and passes now.

--- a/cmd/carobbend/operations_test.go
+++ b/cmd/carobbend/operations_test.go
@@ -393,8 +393,8 @@
 		}
 		body, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.HasPrefix(string(body), "not ready") {
-			t.Fatalf("readyz: got %d %q, %v, want 503 and not ready", resp.StatusCode, body, err)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || string(body) != "not ready: no rules in force\n" {
+			t.Fatalf("readyz: got %d %q, %v, want 503 and not ready for want of rules", resp.StatusCode, body, err)
 		}
 		var r carobbend.QueryReply
 		status, _, err := post(http.DefaultClient, a.Callers, carobbend.PathQuery, carobbend.QueryRequest{Index: "desk", Text: "oak"}, &r)
--- a/server/admin.go
+++ b/server/admin.go
@@ -83,11 +83,23 @@
 
 func (s *Server) getReady(c echo.Context) error {
 	if !s.Ready() {
-		return c.String(http.StatusServiceUnavailable, "not ready: "+s.Stage().String()+"\n")
+		return c.String(http.StatusServiceUnavailable, "not ready: "+s.unreadiness()+"\n")
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
 
+// unreadiness says why callers are not to be sent here.
+func (s *Server) unreadiness() string {
+	switch {
+	case s.Stage() != StageServing:
+		return s.Stage().String()
+	case s.cfg.InForce != nil && !s.cfg.InForce():
+		return "no rules in force"
+	default:
+		return "the rules are not confirmed or the layouts of the indexes are not known"
+	}
+}
+
 // Ready reports whether this instance may be named to callers.
 func (s *Server) Ready() bool {
 	return s.Stage() == StageServing && (s.cfg.InForce == nil || s.cfg.InForce()) && (s.cfg.Ready == nil || s.cfg.Ready())
