--- a/requester/requester.go
+++ b/requester/requester.go
@@ -127,7 +127,13 @@
 		op: "operation", method: http.MethodPost, path: carobbend.PathOperations, body: op, timeout: r.timeout(op.DeadlineMs),
 	}, target[carobbend.OperationReply]{
 		check:   func(o carobbend.OperationReply) error { return checkResult(op.Key, o) },
-		outcome: func(o carobbend.OperationReply) (carobbend.Outcome, []string) { return o.Outcome, o.OtherAddresses },
+		outcome: func(o carobbend.OperationReply) (carobbend.Outcome, []string) {
+			if o.Conflict {
+				// Every instance would say the same.
+				return carobbend.OutcomeDone, nil
+			}
+			return o.Outcome, o.OtherAddresses
+		},
 	})
 	if err != nil {
 		return carobbend.OperationResult{Key: op.Key, Outcome: outcomeOf(maybe), Detail: err.Error()}, err
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -121,6 +121,7 @@
 		{"cut off, then refused", []string{"hang-up", notRun}, carobbend.OutcomeUnknown, 2},
 		{"refused everywhere", []string{notRun, notRun}, carobbend.OutcomeNotRun, 2},
 		{"unknown is final", []string{strings.Replace(done, "done", "unknown", 1), done}, carobbend.OutcomeUnknown, 1},
+		{"conflict is final", []string{strings.Replace(notRun, `"detail"`, `"conflict":true,"detail"`, 1), done}, carobbend.OutcomeNotRun, 1},
 		{"foreign key", []string{strings.Replace(done, "KEY", "other", 1), notRun}, carobbend.OutcomeUnknown, 2},
 	}
 	for _, tt := range tests {
