--- a/requester/requester.go
+++ b/requester/requester.go
@@ -126,7 +126,7 @@
 	reply, maybe, err := send(ctx, r, call{
 		op: "operation", method: http.MethodPost, path: carobbend.PathOperations, body: op, timeout: r.timeout(op.DeadlineMs),
 	}, target[carobbend.OperationReply]{
-		check:   func(o carobbend.OperationReply) error { return checkResult(op.Key, o) },
+		check: func(o carobbend.OperationReply) error { return checkResult(op.Key, o) },
 		outcome: func(o carobbend.OperationReply) (carobbend.Outcome, []string) {
 			if o.Conflict {
 				// Every instance would say the same.
