--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -120,7 +120,7 @@
 	defer w.close()
 	g := &generator{
 		world: w, rate: b.cfg.Load * b.deployment.capacity(emulator.DefaultServiceTime), deadline: b.cfg.Deadline,
-		demand: demand, rng: rand.New(rand.NewPCG(seed, 3)), checker: b.checker,
+		demand: demand, classes: b.scenario.classes, rng: rand.New(rand.NewPCG(seed, 3)), checker: b.checker,
 	}
 	g.run(ctx, warmUp, nil)
 	g.queries.Wait()
--- a/bencher/load.go
+++ b/bencher/load.go
@@ -20,7 +20,9 @@
 	rate     float64
 	deadline time.Duration
 	// demand is the part of the arrivals that each house sends; the parts add up to 1.
-	demand  []float64
+	demand []float64
+	// classes are the priority classes of the houses; houses beyond its end are ordinary.
+	classes []carobbend.Class
 	rng     *rand.Rand
 	checker *checker
 	queries sync.WaitGroup
@@ -40,7 +42,7 @@
 		}
 		g.n++
 		scheduled := start.Add(at)
-		house := g.house()
+		house, class := g.house()
 		q := carobbend.Query{
 			ID: fmt.Sprintf("q%d", g.n), Index: g.world.dep.index, Text: fmt.Sprintf("text-%d", g.rng.IntN(texts)),
 			Limit: carobbend.DefaultLimit, Caller: house, House: house, Arrived: scheduled,
@@ -50,7 +52,7 @@
 		g.queries.Go(func() {
 			defer in.inFlight.Add(-1)
 			lag := time.Since(scheduled)
-			a := ask(in, q, g.world.dep.shards)
+			a := ask(in, q, class, g.world.dep.shards)
 			latency := time.Since(scheduled) + 2*g.world.dep.clientOneWay
 			g.primaries.Add(int64(a.Total))
 			if rec != nil {
@@ -60,22 +62,28 @@
 	}
 }
 
-func (g *generator) house() string {
-	x := g.rng.Float64()
+// house draws the house of the next query and returns its class.
+func (g *generator) house() (string, carobbend.Class) {
+	x, n := g.rng.Float64(), 0
 	for i, d := range g.demand {
 		if x -= d; x < 0 {
-			return g.world.dep.houses[i].name
+			n = i
+			break
 		}
 	}
-	return g.world.dep.houses[0].name
+	class := carobbend.ClassOrdinary
+	if n < len(g.classes) {
+		class = g.classes[n]
+	}
+	return g.world.dep.houses[n].name, class
 }
 
 // ask passes a query through the instance's admission and executor.
-func ask(in *instance, q carobbend.Query, cost int) carobbend.Answer {
+func ask(in *instance, q carobbend.Query, class carobbend.Class, cost int) carobbend.Answer {
 	if in.gate == nil {
 		return in.runner.Run(in.ctx, q)
 	}
-	release, refusal := in.gate.Enter(in.ctx, q, carobbend.ClassOrdinary, cost)
+	release, refusal := in.gate.Enter(in.ctx, q, class, cost)
 	if refusal != "" {
 		return carobbend.Answer{
 			QueryID: q.ID, Index: q.Index, Outcome: carobbend.OutcomeNotRun, Items: []carobbend.Item{}, Detail: refusal,
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -1,6 +1,10 @@
 package bencher
 
-import "time"
+import (
+	"time"
+
+	"carobbend.example/carobbend"
+)
 
 // faultKind is what happens to an upstream, the layout or the instances.
 type faultKind string
@@ -57,9 +61,11 @@
 	load     float64
 	deadline time.Duration
 	// flood makes the houses demand what they do under a flood.
-	flood  bool
-	cold   bool
-	faults []fault
+	flood bool
+	// classes are the priority classes of the houses in order.
+	classes []carobbend.Class
+	cold    bool
+	faults  []fault
 }
 
 var scenarios = map[string]scenario{
@@ -106,6 +112,11 @@
 		help: "1.5 times the capacity, most of it from one house; deadline 70 ms", load: 1.5, flood: true,
 		deadline: 70 * time.Millisecond,
 	},
+	"classes": {
+		help: "as overload, with the houses in the classes first, ordinary and last", load: 1.5, flood: true,
+		deadline: 70 * time.Millisecond,
+		classes:  []carobbend.Class{carobbend.ClassFirst, carobbend.ClassOrdinary, carobbend.ClassLast},
+	},
 	"restart": {
 		help:   "the instances are replaced one after the other",
 		faults: []fault{{kind: faultReplace, step: 1, at: 0.05, each: 0.13}},
--- a/cmd/carobbend/bench.go
+++ b/cmd/carobbend/bench.go
@@ -14,13 +14,13 @@
 const controlScenario = "control"
 
 type benchCmd struct {
-	Scenario   string        `help:"Load and faults: healthy, straggler, lost-replica, repartition, silent, drain, cold-start, lying-load, overload or restart; control measures rules and membership without queries." default:"healthy"`
+	Scenario   string        `help:"Load and faults: healthy, straggler, lost-replica, repartition, silent, drain, cold-start, lying-load, overload, classes or restart; control measures rules and membership without queries." default:"healthy"`
 	Deployment string        `help:"Upstreams and delays: bajio or jylland." default:"bajio"`
 	Policy     []string      `help:"Policies to alternate: naive or full, followed by +PART or -PART; parts are balance, eject, slow-start, hint, budget, hedge, scarce, limit and admit. Without the budget nothing is hedged or retried." default:"naive,full"`
 	Duration   time.Duration `help:"Measured time for each policy." default:"10s"`
 	Rounds     int           `help:"Rounds into which the duration is divided; the policies take turns." default:"2"`
 	Load       float64       `help:"Part of the slots in use, from 0 to 3; the scenario overload sets its own." default:"0.6"`
-	Deadline   time.Duration `help:"Time that an answer may take; above the target of 70ms so that it doesn't hide the tail. The scenario overload sets its own." default:"1s"`
+	Deadline   time.Duration `help:"Time that an answer may take; above the target of 70ms so that it doesn't hide the tail. The scenarios overload and classes set their own." default:"1s"`
 	Seed       uint64        `help:"Seed of arrivals, service times and choices." default:"1"`
 	Instances  []int         `help:"Numbers of instances of the scenario control." default:"8,32,128"`
 	JSON       string        `name:"json" help:"File to write the report to." type:"path"`
