Spread the reads of the instance list

Cause: instances that start together read the list together; 256 of them showed 25.6 reads a second in a window of 10 s against a bound of 16.

--- a/linker/linker.go
+++ b/linker/linker.go
@@ -223,7 +223,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.view.listRead(k.now(), list)
+	k.view.listRead(k.now(), list, rand.Float64())
 }
 
 // notify sends the own state and recent changes to peers and learns from their replies.
--- a/linker/membership.go
+++ b/linker/membership.go
@@ -45,6 +45,8 @@
 	self    carobbend.Instance
 	members map[string]*member
 	listed  time.Time
+	// nextList is when the list is read again.
+	nextList time.Time
 }
 
 func newMembership(self carobbend.Instance) *membership {
@@ -59,8 +61,8 @@
 	return a.Sequence > b.Sequence
 }
 
-// listRead records the instance list.
-func (m *membership) listRead(now time.Time, list []carobbend.Instance) {
+// listRead records the instance list. Jitter from 0 to 1 spreads the next reads of instances that started together.
+func (m *membership) listRead(now time.Time, list []carobbend.Instance, jitter float64) {
 	m.listed = now
 	for _, x := range m.members {
 		x.listed = false
@@ -81,6 +83,7 @@
 		}
 	}
 	m.expire(now)
+	m.nextList = now.Add(time.Duration((0.5 + jitter) * float64(m.listInterval()-interval/2)))
 }
 
 func (m *membership) add(now time.Time, in carobbend.Instance) *member {
@@ -130,7 +133,7 @@
 
 // listDue reports whether the list should be read now; the first read is due at once.
 func (m *membership) listDue(now time.Time) bool {
-	return m.listed.IsZero() || now.Sub(m.listed) >= m.listInterval()-interval/2
+	return m.listed.IsZero() || !now.Before(m.nextList)
 }
 
 // askFailed and askSucceeded record the result of a request to a peer.
--- a/linker/membership_test.go
+++ b/linker/membership_test.go
@@ -45,11 +45,11 @@
 func TestListDoesNotUndoLeaving(t *testing.T) {
 	now := time.Unix(1000, 0)
 	m := newMembership(instance("self", "1", 1))
-	m.listRead(now, []carobbend.Instance{instance("a", "2", 0)})
+	m.listRead(now, []carobbend.Instance{instance("a", "2", 0)}, 0.5)
 	left := instance("a", "2", 1)
 	left.Leaving = true
 	m.noticeReceived(now, left, true)
-	m.listRead(now.Add(time.Second), []carobbend.Instance{instance("a", "2", 0)})
+	m.listRead(now.Add(time.Second), []carobbend.Instance{instance("a", "2", 0)}, 0.5)
 	if got := m.preferred(now.Add(time.Second), "key", 9); len(got) != 1 {
 		t.Errorf("preferred: got %v, want this instance alone", got)
 	}
@@ -59,7 +59,7 @@
 func TestPauseDropsTheView(t *testing.T) {
 	now := time.Unix(1000, 0)
 	m := newMembership(instance("self", "1", 1))
-	m.listRead(now, []carobbend.Instance{instance("a", "2", 0)})
+	m.listRead(now, []carobbend.Instance{instance("a", "2", 0)}, 0.5)
 	m.noticeReceived(now, instance("b", "2", 1), true)
 	m.paused()
 	if got := m.instances(now, false); len(got) != 1 {
@@ -100,13 +100,13 @@
 	now := time.Unix(1000, 0)
 	m := newMembership(instance("self", "1", 1))
 	list := []carobbend.Instance{instance("a", "2", 0), instance("b", "2", 0), instance("c", "2", 0)}
-	m.listRead(now, list)
+	m.listRead(now, list, 0.5)
 	before := map[string]string{}
 	for i := range 100 {
 		key := fmt.Sprint(i)
 		before[key] = m.preferred(now, key, 1)[0].Name
 	}
-	m.listRead(now, list[:2])
+	m.listRead(now, list[:2], 0.5)
 	for key, was := range before {
 		if got := m.preferred(now, key, 1)[0].Name; was != "c" && got != was {
 			t.Errorf("key %s: got %s, want %s", key, got, was)
@@ -122,10 +122,16 @@
 	for i := range 1100 {
 		list = append(list, instance(fmt.Sprint("i", i), "1", 0))
 	}
-	m.listRead(now, list)
+	m.listRead(now, list, 0.5)
 	if got, want := float64(len(list))/m.listInterval().Seconds(), float64(listReadsPerSecond); got > want {
 		t.Errorf("reads a second by all instances: got %.1f, want at most %.0f", got, want)
 	}
+	for jitter, want := range map[float64]bool{0: true, 0.99: false} {
+		m.listRead(now, list, jitter)
+		if got := m.listDue(now.Add(m.listInterval())); got != want {
+			t.Errorf("read due after the interval with jitter %v: got %v, want %v", jitter, got, want)
+		}
+	}
 	if got := len(m.instances(now.Add(m.listInterval()), false)); got != len(list)+1 {
 		t.Errorf("instances before the next read: got %d, want %d", got, len(list)+1)
 	}
