Share the waits, the latency baseline and the store set-up of commands

Cause: reading the whole tree showed the same wait with a context in seven packages, the same smoothed value with its baseline in limiter and admitter, the headers of the upstream protocol in connector and sender, and the same set-up in three rules subcommands.

Change: packages sleeper and estimator, the constants of connector, and withPublisher serve them; behaviour and tests are as they were.

--- a/admitter/concurrency.go
+++ b/admitter/concurrency.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"carobbend.example/carobbend/estimator"
+
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
@@ -41,9 +43,8 @@
 	value float64
 	least float64
 	most  float64
-	// recent and baseline are service times in nanoseconds.
-	recent   float64
-	baseline float64
+	// service is the service time in nanoseconds.
+	service  estimator.Baseline
 	due      time.Duration
 	services *hdrhistogram.WindowedHistogram
 	seen     int
@@ -54,6 +55,7 @@
 	return concurrency{
 		value: float64(max(start, 1)), least: float64(max(least, 1)), most: float64(max(most, least, 1)),
 		due:      firstDue,
+		service:  estimator.NewBaseline(recentWeight, baselineRise),
 		services: hdrhistogram.NewWindowed(2, 1, maxService.Microseconds(), 2),
 	}
 }
@@ -65,15 +67,15 @@
 
 // mean returns the recent mean service time.
 func (c *concurrency) mean() time.Duration {
-	if c.recent == 0 {
+	if c.service.Recent() == 0 {
 		return firstDue
 	}
-	return time.Duration(c.recent)
+	return time.Duration(c.service.Recent())
 }
 
 func (c *concurrency) finished(now time.Time, service time.Duration, used bool) {
 	c.learn(service)
-	if c.recent > congestedRatio*c.baseline {
+	if c.service.Recent() > congestedRatio*c.service.Level() {
 		c.decrease(now, slowFactor)
 		return
 	}
@@ -92,17 +94,7 @@
 			c.services.Rotate()
 		}
 	}
-	s := float64(service)
-	if c.recent == 0 {
-		c.recent, c.baseline = s, s
-		return
-	}
-	c.recent += recentWeight * (s - c.recent)
-	if c.recent < c.baseline {
-		c.baseline = c.recent
-	} else {
-		c.baseline += baselineRise * (c.recent - c.baseline)
-	}
+	c.service.Observe(float64(service))
 }
 
 // decrease scales the limit once per service time, so that one congestion isn't counted several times.
--- a/bencher/faults.go
+++ b/bencher/faults.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/emulator"
 )
@@ -17,7 +19,7 @@
 		for n, i := range targets {
 			at, length := part(f.at+float64(n)*f.each), part(f.length)
 			w.wait.Go(func() {
-				if sleep(ctx, at) {
+				if sleeper.Sleep(ctx, at) {
 					w.apply(ctx, f, i, length)
 				}
 			})
@@ -66,7 +68,7 @@
 		u.Drop(w.dep.index, carobbend.SnapshotID(f.value))
 	case faultRestart:
 		u.SetFailing(true)
-		if sleep(ctx, downTime) {
+		if sleeper.Sleep(ctx, downTime) {
 			u.Restart()
 			u.SetFailing(false)
 		}
@@ -86,12 +88,12 @@
 func (w *world) drain(ctx context.Context, u *emulator.Upstream, length time.Duration) {
 	u.SetLeaving(true)
 	w.wait.Go(func() { w.listed(ctx, u.ID(), true) })
-	if !sleep(ctx, drainTime) {
+	if !sleeper.Sleep(ctx, drainTime) {
 		return
 	}
 	w.cutOff.Add(int64(math.Round(u.Load() * float64(w.dep.slots))))
 	u.SetFailing(true)
-	if sleep(ctx, length-drainTime) {
+	if sleeper.Sleep(ctx, length-drainTime) {
 		u.SetFailing(false)
 		u.SetLeaving(false)
 		w.listed(ctx, u.ID(), false)
--- a/bencher/load.go
+++ b/bencher/load.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"carobbend.example/carobbend"
 )
 
@@ -37,7 +39,7 @@
 	var at time.Duration
 	for {
 		at += time.Duration(g.rng.ExpFloat64() / g.rate * float64(time.Second))
-		if at > d || !sleep(ctx, time.Until(start.Add(at))) {
+		if at > d || !sleeper.Sleep(ctx, time.Until(start.Add(at))) {
 			return
 		}
 		g.n++
--- a/bencher/wire.go
+++ b/bencher/wire.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/emulator"
 )
@@ -77,7 +79,7 @@
 	c := &conn{}
 	p.open[c] = struct{}{}
 	p.mu.Unlock()
-	if !sleep(ctx, p.connect+2*p.oneWay) {
+	if !sleeper.Sleep(ctx, p.connect+2*p.oneWay) {
 		p.put(c, false)
 		return nil, p.fail(carobbend.FailureCanceled, ctx.Err())
 	}
@@ -97,7 +99,7 @@
 
 func (p *pool) roundTrip(ctx context.Context, c *conn, req carobbend.ShardRequest) (carobbend.ShardReply, error) {
 	start := time.Now()
-	if !sleep(ctx, p.oneWay) {
+	if !sleeper.Sleep(ctx, p.oneWay) {
 		return carobbend.ShardReply{}, p.fail(carobbend.FailureCanceled, ctx.Err())
 	}
 	var reply carobbend.ShardReply
@@ -106,12 +108,12 @@
 		reply, err = p.up.Search(ctx, req)
 	}
 	if c.silent.Load() {
-		if !sleep(ctx, progressBound-time.Since(start)) {
+		if !sleeper.Sleep(ctx, progressBound-time.Since(start)) {
 			return carobbend.ShardReply{}, p.fail(carobbend.FailureCanceled, ctx.Err())
 		}
 		return carobbend.ShardReply{}, p.fail(carobbend.FailureSilent, errSilent)
 	}
-	if carobbend.KindOf(err) != carobbend.FailureCanceled && !sleep(ctx, p.oneWay) {
+	if carobbend.KindOf(err) != carobbend.FailureCanceled && !sleeper.Sleep(ctx, p.oneWay) {
 		return carobbend.ShardReply{}, p.fail(carobbend.FailureCanceled, ctx.Err())
 	}
 	return reply, err
@@ -129,18 +131,3 @@
 func (p *pool) fail(kind carobbend.FailureKind, err error) error {
 	return &carobbend.SendError{Upstream: p.up.ID(), Kind: kind, Err: err}
 }
-
-// sleep waits and reports whether ctx is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bencher/world.go
+++ b/bencher/world.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/emulator"
 	"carobbend.example/carobbend/executor"
@@ -97,7 +99,7 @@
 	for {
 		for _, u := range ups {
 			wait := time.Duration((0.5 + rng.Float64()) * float64(statusInterval) / float64(len(ups)))
-			if !sleep(in.ctx, wait) {
+			if !sleeper.Sleep(in.ctx, wait) {
 				return
 			}
 			in.catalog.polled(u.ID(), u.Holdings())
@@ -128,7 +130,7 @@
 	old.leaving = true
 	w.mu.Unlock()
 	for end := time.Now().Add(drainLimit); old.inFlight.Load() > 0 && time.Now().Before(end); {
-		if !sleep(ctx, time.Millisecond) {
+		if !sleeper.Sleep(ctx, time.Millisecond) {
 			return
 		}
 	}
@@ -142,7 +144,7 @@
 
 // listed tells all instances after listLag whether an upstream leaves.
 func (w *world) listed(ctx context.Context, id carobbend.UpstreamID, leaving bool) {
-	if !sleep(ctx, listLag) {
+	if !sleeper.Sleep(ctx, listLag) {
 		return
 	}
 	w.mu.Lock()
--- a/cmd/carobbend/demo.go
+++ b/cmd/carobbend/demo.go
@@ -32,7 +32,7 @@
 	demoLimit = 18 * time.Second
 	demoRules = `class index sales-desk first # asked by the sales desk
 deadline sales-desk 70ms # asked by the sales desk
-extra-load sales-desk 20% # asked by the finance chief
+extra-load sales-desk 20% # agreed with finance
 at-most-once confirm-order # asked by dispatch
 `
 )
--- a/cmd/carobbend/rules.go
+++ b/cmd/carobbend/rules.go
@@ -113,6 +113,18 @@
 	return parser.Parse(file, string(b))
 }
 
+// withPublisher runs do with a publisher on the store until it returns or a signal ends it.
+func (f *storeFlags) withPublisher(do func(ctx context.Context, pub *publisher.Publisher) error) error {
+	ctx, cancel := interruptible()
+	defer cancel()
+	store, err := f.client()
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	return do(ctx, publisher.New(store))
+}
+
 type rulesShowCmd struct {
 	storeFlags `embed:""`
 }
@@ -121,19 +133,14 @@
 func (c *rulesShowCmd) Run() error { return c.run(&printer{w: os.Stdout}) }
 
 func (c *rulesShowCmd) run(p *printer) error {
-	ctx, cancel := interruptible()
-	defer cancel()
-	store, err := c.client()
-	if err != nil {
-		return err
-	}
-	defer store.Close()
-	v, err := publisher.New(store).Current(ctx)
-	if err != nil {
-		return err
-	}
-	p.printf("version %d\n%s", v.GetVersion(), v.GetText())
-	return p.err
+	return c.withPublisher(func(ctx context.Context, pub *publisher.Publisher) error {
+		v, err := pub.Current(ctx)
+		if err != nil {
+			return err
+		}
+		p.printf("version %d\n%s", v.GetVersion(), v.GetText())
+		return p.err
+	})
 }
 
 type rulesLogCmd struct {
@@ -144,17 +151,12 @@
 func (c *rulesLogCmd) Run() error { return c.run(&printer{w: os.Stdout}) }
 
 func (c *rulesLogCmd) run(p *printer) error {
-	ctx, cancel := interruptible()
-	defer cancel()
-	store, err := c.client()
-	if err != nil {
-		return err
-	}
-	defer store.Close()
-	changes, err := publisher.New(store).Log(ctx)
-	if err != nil {
-		return err
-	}
-	p.audit(changes)
-	return p.err
+	return c.withPublisher(func(ctx context.Context, pub *publisher.Publisher) error {
+		changes, err := pub.Log(ctx)
+		if err != nil {
+			return err
+		}
+		p.audit(changes)
+		return p.err
+	})
 }
--- a/cmd/carobbend/rules_status.go
+++ b/cmd/carobbend/rules_status.go
@@ -223,22 +223,19 @@
 func (c *rulesStatusCmd) Run() error { return c.run(&printer{w: os.Stdout}) }
 
 func (c *rulesStatusCmd) run(p *printer) error {
-	ctx, cancel := interruptible()
-	defer cancel()
-	store, err := c.client()
-	if err != nil {
-		return err
-	}
-	defer store.Close()
+	return c.withPublisher(func(ctx context.Context, pub *publisher.Publisher) error { return c.status(ctx, p, pub) })
+}
+
+func (c *rulesStatusCmd) status(ctx context.Context, p *printer, pub *publisher.Publisher) error {
 	if c.Change != "" {
-		return c.find(ctx, p, publisher.New(store))
+		return c.find(ctx, p, pub)
 	}
 	fleet, err := c.fleet(c.Store)
 	if err != nil {
 		return err
 	}
 	defer fleet.close()
-	v, serr := publisher.New(store).Current(ctx)
+	v, serr := pub.Current(ctx)
 	if serr == nil {
 		p.printf("store: version %d, change %s\n", v.GetVersion(), v.GetChangeId())
 	}
--- a/cmd/carobbend/upstreamlist.go
+++ b/cmd/carobbend/upstreamlist.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/connector"
 	"carobbend.example/carobbend/logger"
@@ -29,10 +31,7 @@
 			u.log.Error(err, "the list of upstreams was not read")
 		}
 		failing = err != nil
-		select {
-		case <-time.After(u.every):
-		case <-ctx.Done():
-		}
+		sleeper.Sleep(ctx, u.every)
 	}
 	return nil
 }
--- a/connector/poller.go
+++ b/connector/poller.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"github.com/joomcode/errorx"
 )
 
@@ -25,11 +27,7 @@
 			c.statusRead(now, p.up.ID, status.Holdings)
 			p.stateLeaving(now, status.Leaving)
 		}
-		t := time.NewTimer(c.statusPoll*3/4 + rand.N(c.statusPoll/2))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !sleeper.Sleep(ctx, c.statusPoll*3/4+rand.N(c.statusPoll/2)) {
 			return
 		}
 	}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/asserter"
 	"carobbend.example/carobbend/claimer"
@@ -48,7 +50,7 @@
 		default:
 			return a.giveUp(ctx, waited, "the claim wasn't confirmed, nothing was sent for this request: "+r.Detail)
 		}
-		if !pause(ctx, wait/2+rand.N(wait)) {
+		if !sleeper.Sleep(ctx, wait/2+rand.N(wait)) {
 			return a.giveUp(ctx, true, "")
 		}
 	}
@@ -126,7 +128,7 @@
 	a.d.recording.Go(func() {
 		defer cancel()
 		for wait := pollBase; commit(ctx).Temporary(); wait = min(2*wait, pollMax) {
-			if !pause(ctx, wait/2+rand.N(wait)) {
+			if !sleeper.Sleep(ctx, wait/2+rand.N(wait)) {
 				a.d.counts.unrecorded.Add(1)
 				return
 			}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"github.com/oklog/ulid/v2"
 
 	"carobbend.example/carobbend"
@@ -217,7 +219,7 @@
 			break
 		}
 		avoid = append(avoid, id)
-		pause(ctx, rand.N(retryWait))
+		sleeper.Sleep(ctx, rand.N(retryWait))
 	}
 	if clean {
 		return notRun(detail)
@@ -278,15 +280,3 @@
 	out.Body = r.Answer
 	return out
 }
-
-// pause waits and returns false if ctx ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -26,6 +26,8 @@
 	"sync/atomic"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"golang.org/x/sync/errgroup"
 
 	"carobbend.example/carobbend"
@@ -190,7 +192,7 @@
 		var err error
 		switch call {
 		case callNone:
-			sleep(ctx, idleWait)
+			sleeper.Sleep(ctx, idleWait)
 			continue
 		case callGet:
 			e, err = d.store.Get(ctx, publisher.Key)
@@ -246,12 +248,3 @@
 		})
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"golang.org/x/time/rate"
 
 	"carobbend.example/carobbend"
@@ -172,17 +174,10 @@
 	s.mu.Lock()
 	d := s.delay
 	s.mu.Unlock()
-	if d <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !sleeper.Sleep(ctx, d) {
 		return storeError(op, key, carobbend.StoreUnavailable, ctx.Err())
 	}
+	return nil
 }
 
 func (s *Store) refusalLocked(op, key string, limit *rate.Limiter) error {
--- a/emulator/upstream.go
+++ b/emulator/upstream.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/connector"
 )
@@ -308,16 +310,12 @@
 		return u.fail(carobbend.FailureDeadline, errOverDue)
 	}
 	start := time.Now()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		u.set(func() { u.overrun += time.Since(start) - d })
-		return nil
-	case <-ctx.Done():
+	if !sleeper.Sleep(ctx, d) {
 		u.set(func() { u.stats.Canceled++ })
 		return u.fail(carobbend.FailureCanceled, errUpstreamCut)
 	}
+	u.set(func() { u.overrun += time.Since(start) - d })
+	return nil
 }
 
 func (u *Upstream) sampleLocked(now time.Time) time.Duration {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -19,6 +19,8 @@
 	"sync"
 	"time"
 
+	"carobbend.example/carobbend/estimator"
+
 	"carobbend.example/carobbend"
 )
 
@@ -62,10 +64,9 @@
 	value    float64
 	most     float64
 	inFlight int
-	// smoothed and baseline are latencies in nanoseconds.
-	smoothed float64
-	baseline float64
-	nextCut  time.Time
+	// latency is in nanoseconds.
+	latency estimator.Baseline
+	nextCut time.Time
 }
 
 // New returns a Limiter that knows no upstream yet.
@@ -107,9 +108,9 @@
 	case carobbend.FailureShed:
 		s.decrease(now, shedFactor)
 	case carobbend.FailureNone:
-		s.observe(float64(latency))
+		s.latency.Observe(float64(latency))
 		switch {
-		case s.baseline > 0 && s.smoothed > slowRatio*s.baseline:
+		case s.latency.Recent() > slowRatio*s.latency.Level():
 			s.decrease(now, slowFactor)
 		case used:
 			s.value = min(s.value+1/s.value, s.most)
@@ -133,30 +134,20 @@
 		if slots <= 0 {
 			slots = defaultSlots
 		}
-		s = &limit{value: max(float64(slots)/float64(max(l.instances(), 1)), 1), most: float64(slots)}
+		s = &limit{
+			value: max(float64(slots)/float64(max(l.instances(), 1)), 1), most: float64(slots),
+			latency: estimator.NewBaseline(latencyWeight, baselineDrift),
+		}
 		l.state[id] = s
 	}
 	return s
 }
 
-func (s *limit) observe(latency float64) {
-	if s.smoothed == 0 {
-		s.smoothed, s.baseline = latency, latency
-		return
-	}
-	s.smoothed += latencyWeight * (latency - s.smoothed)
-	if s.smoothed < s.baseline {
-		s.baseline = s.smoothed
-	} else {
-		s.baseline += baselineDrift * (s.smoothed - s.baseline)
-	}
-}
-
 // decrease scales the limit once per smoothed latency, so that one congestion isn't counted several times.
 func (s *limit) decrease(now time.Time, factor float64) {
 	if now.Before(s.nextCut) {
 		return
 	}
-	s.nextCut = now.Add(max(time.Duration(s.smoothed), minPause))
+	s.nextCut = now.Add(max(time.Duration(s.latency.Recent()), minPause))
 	s.value = max(s.value*factor, floorLimit)
 }
--- a/publisher/audit.go
+++ b/publisher/audit.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"google.golang.org/protobuf/proto"
 
 	"carobbend.example/carobbend"
@@ -67,7 +69,7 @@
 func (p *Publisher) page(ctx context.Context, first uint64) ([]*encoder.RulesChange, error) {
 	for {
 		e, err := p.store.Get(ctx, auditKey(first))
-		if carobbend.StoreFailureOf(err) == carobbend.StoreLimited && sleep(ctx, maxRetry) {
+		if carobbend.StoreFailureOf(err) == carobbend.StoreLimited && sleeper.Sleep(ctx, maxRetry) {
 			continue
 		}
 		if err != nil {
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -24,6 +24,8 @@
 	"unicode"
 	"unicode/utf8"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"github.com/oklog/ulid/v2"
 	"google.golang.org/protobuf/proto"
 
@@ -261,7 +263,7 @@
 		if done, ok := p.lookBack(ctx, res, value, revision); ok {
 			return done
 		}
-		if time.Now().Add(pause).After(end) || !sleep(ctx, pause) {
+		if time.Now().Add(pause).After(end) || !sleeper.Sleep(ctx, pause) {
 			break
 		}
 	}
@@ -371,14 +373,3 @@
 	}
 	return v, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"time"
 
+	"carobbend.example/carobbend/connector"
+
 	"carobbend.example/carobbend"
 )
 
@@ -27,13 +29,7 @@
 	// the next operation its known outcome, and a new one opens in about 1 ms.
 	DefaultIdleTimeout = 2 * time.Second
 
-	headerRequestID     = "X-Request-Id"
-	headerDeadline      = "X-Deadline-Ms"
-	headerOperationKey  = "X-Operation-Key"
-	headerUpstreamState = "X-Upstream-State"
-	stateLeaving        = "leaving"
-	operationPrefix     = "/v1/operations/"
-	maxErrorBytes       = 200
+	maxErrorBytes = 200
 )
 
 var (
@@ -119,7 +115,7 @@
 		return nil, sendError(id, failureOf(ctx), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return s.answer(ctx, id, req.Header.Get(headerRequestID), resp)
+	return s.answer(ctx, id, req.Header.Get(connector.HeaderRequestID), resp)
 }
 
 func newRequest(ctx context.Context, address string, op carobbend.Operation, g *guard) (*http.Request, error) {
@@ -135,7 +131,7 @@
 			}
 		},
 	})
-	target := url.URL{Scheme: "http", Host: address, Path: operationPrefix + op.Name}
+	target := url.URL{Scheme: "http", Host: address, Path: connector.OperationPrefix + op.Name}
 	// The reader's type is hidden, so that NewRequest sets no GetBody.
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
@@ -143,11 +139,11 @@
 	}
 	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(headerRequestID, rand.Text())
-	req.Header.Set(headerOperationKey, op.Key)
+	req.Header.Set(connector.HeaderRequestID, rand.Text())
+	req.Header.Set(connector.HeaderOperationKey, op.Key)
 	if !op.Deadline.IsZero() {
 		ms := float64(time.Until(op.Deadline)) / float64(time.Millisecond)
-		req.Header.Set(headerDeadline, strconv.FormatFloat(ms, 'f', 3, 64))
+		req.Header.Set(connector.HeaderDeadline, strconv.FormatFloat(ms, 'f', 3, 64))
 	}
 	return req, nil
 }
@@ -169,11 +165,11 @@
 	switch {
 	case err != nil:
 		return nil, sendError(id, failureOf(ctx), err)
-	case resp.Header.Get(headerRequestID) != requestID:
+	case resp.Header.Get(connector.HeaderRequestID) != requestID:
 		return nil, sendError(id, carobbend.FailureIdentity, errIdentity)
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
 		kind := carobbend.FailureShed
-		if resp.Header.Get(headerUpstreamState) == stateLeaving {
+		if resp.Header.Get(connector.HeaderUpstreamState) == connector.StateLeaving {
 			kind = carobbend.FailureLeaving
 		}
 		return nil, sendError(id, kind, statusError(resp, body))
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"carobbend.example/carobbend/connector"
+
 	"github.com/oklog/ulid/v2"
 
 	"carobbend.example/carobbend"
@@ -125,7 +127,7 @@
 func TestFailureKinds(t *testing.T) {
 	reply := func(status int, header ...string) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+			w.Header().Set(connector.HeaderRequestID, r.Header.Get(connector.HeaderRequestID))
 			for i := 0; i+1 < len(header); i += 2 {
 				w.Header().Set(header[i], header[i+1])
 			}
@@ -140,11 +142,11 @@
 	}{
 		{"answer", reply(200), carobbend.FailureNone},
 		{"shed", reply(503, "Retry-After", "1"), carobbend.FailureShed},
-		{"leaving", reply(503, "Retry-After", "1", headerUpstreamState, stateLeaving), carobbend.FailureLeaving},
+		{"leaving", reply(503, "Retry-After", "1", connector.HeaderUpstreamState, connector.StateLeaving), carobbend.FailureLeaving},
 		{"503 of something else", reply(503), carobbend.FailureBroken},
 		{"redirect", reply(307, "Location", "/v1/operations/book-crew"), carobbend.FailureBroken},
-		{"other request", reply(200, headerRequestID, "x"), carobbend.FailureIdentity},
-		{"shed for another request", reply(503, "Retry-After", "1", headerRequestID, "x"), carobbend.FailureIdentity},
+		{"other request", reply(200, connector.HeaderRequestID, "x"), carobbend.FailureIdentity},
+		{"shed for another request", reply(503, "Retry-After", "1", connector.HeaderRequestID, "x"), carobbend.FailureIdentity},
 		{"truncated", reply(200, "Content-Length", "500"), carobbend.FailureBroken},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/storeclient/transport.go
+++ b/storeclient/transport.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"carobbend.example/carobbend/sleeper"
+
 	"golang.org/x/time/rate"
 
 	"carobbend.example/carobbend"
@@ -157,19 +159,12 @@
 		t.count.limited.Add(1)
 		return storeError(q.op, q.key, carobbend.StoreLimited, errCapped)
 	}
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if d > 0 && !sleeper.Sleep(ctx, d) {
 		res.Cancel()
 		t.gate.abandoned()
 		return storeError(q.op, q.key, carobbend.StoreUnavailable, ctx.Err())
 	}
+	return nil
 }
 
 func (t *transport) send(ctx context.Context, q request) (reply, carobbend.StoreFailure, error) {
