Measure the cost of upstreams in the control scenario

Cause: CAPACITY.md derived the cost of an upstream from one idle process; the bench printed slopes over instances only.

--- a/cmd/carobbend/bench.go
+++ b/cmd/carobbend/bench.go
@@ -23,6 +23,7 @@
 	Deadline   time.Duration `help:"Time that an answer may take; above the target of 70ms so that it doesn't hide the tail. The scenarios overload and classes set their own." default:"1s"`
 	Seed       uint64        `help:"Seed of arrivals, service times and choices." default:"1"`
 	Instances  []int         `help:"Numbers of instances of the scenario control." default:"8,32,128"`
+	Upstreams  []int         `help:"Numbers of upstreams of the scenario control." default:"25,75,225"`
 	JSON       string        `name:"json" help:"File to write the report to." type:"path"`
 }
 
@@ -48,19 +49,33 @@
 	return r.WriteTable(os.Stdout)
 }
 
+// controlReport is the JSON of the scenario control.
+type controlReport struct {
+	Instances []bencher.ControlRow  `json:"instances"`
+	Upstreams []bencher.UpstreamRow `json:"upstreams"`
+}
+
 func (c *benchCmd) control(ctx context.Context) error {
-	rows, err := bencher.Control(ctx, bencher.ControlConfig{Instances: c.Instances, Duration: c.Duration})
-	if err != nil {
+	var r controlReport
+	var err error
+	if r.Instances, err = bencher.Control(ctx, bencher.ControlConfig{Instances: c.Instances, Duration: c.Duration}); err != nil {
 		return &exitError{code: exitFailure, err: err}
 	}
-	if c.JSON != "" {
-		b, err := json.MarshalIndent(rows, "", "  ")
-		if err != nil {
-			return err
-		}
-		if err := os.WriteFile(c.JSON, append(b, '\n'), 0o600); err != nil {
-			return err
-		}
+	if err := bencher.WriteControlTable(os.Stdout, r.Instances); err != nil {
+		return err
+	}
+	if r.Upstreams, err = bencher.ControlUpstreams(ctx, c.Upstreams, c.Duration); err != nil {
+		return &exitError{code: exitFailure, err: err}
+	}
+	if err := bencher.WriteUpstreamTable(os.Stdout, r.Upstreams); err != nil {
+		return err
+	}
+	if c.JSON == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
 	}
-	return bencher.WriteControlTable(os.Stdout, rows)
+	return os.WriteFile(c.JSON, append(b, '\n'), 0o600)
 }
