--- a/doc.go
+++ b/doc.go
@@ -7,7 +7,7 @@
 //
 // Packages below this one implement the interfaces declared here and depend on each other only through them:
 //
-//	var up carobbend.Upstreams = connector.New(connector.WithLayout(cfg))
+//	var up carobbend.Upstreams = connector.New(upstreams, connector.WithConns(shares))
 //	reply, err := up.Send(ctx, "upstream-1", carobbend.ShardRequest{Ref: ref, Text: "bar stool"})
 //	if kind := carobbend.KindOf(err); kind == carobbend.FailureShed {
 //		// choose another replica
