Learn layouts in one package for connector and bench

The bench measured a rule that no instance runs.

Change: package cataloger, which the connector had inside, serves both; the type Holding moves to the root package.

--- a/bencher/wire.go
+++ b/bencher/wire.go
@@ -24,7 +24,7 @@
 	pools map[carobbend.UpstreamID]*pool
 	sends *atomic.Int64
 	// gone is told of replies that an upstream no longer holds a snapshot.
-	gone func(carobbend.UpstreamID, carobbend.ShardRef)
+	gone func(time.Time, carobbend.UpstreamID, carobbend.ShardRef)
 }
 
 var _ carobbend.Upstreams = (*wire)(nil)
@@ -58,7 +58,7 @@
 	kind := carobbend.KindOf(err)
 	p.put(c, kind != carobbend.FailureCanceled && kind != carobbend.FailureSilent)
 	if kind == carobbend.FailureSnapshotGone {
-		w.gone(id, req.Ref)
+		w.gone(time.Now(), id, req.Ref)
 	}
 	return reply, err
 }
--- a/bencher/world.go
+++ b/bencher/world.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"carobbend.example/carobbend/cataloger"
+
 	"carobbend.example/carobbend/sleeper"
 
 	"carobbend.example/carobbend"
@@ -39,7 +41,7 @@
 	parts
 	name     string
 	wire     *wire
-	catalog  *catalog
+	catalog  *cataloger.Cataloger
 	runner   carobbend.QueryRunner
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -71,10 +73,13 @@
 	seed := w.seed*100 + uint64(n) + uint64(incarnation)*10_000
 	in := &instance{
 		parts: w.policy.build(d, w.rules.Share, seed), name: fmt.Sprintf("carobbend-%d", n),
-		catalog: newCatalog(d.index, w.ups),
+		catalog: &cataloger.Cataloger{},
+	}
+	for _, u := range w.ups {
+		in.catalog.StatusRead(time.Now(), u.ID(), u.Holdings())
 	}
 	in.ctx, in.stop = context.WithCancel(ctx)
-	in.wire = &wire{pools: map[carobbend.UpstreamID]*pool{}, sends: &w.sends, gone: in.catalog.gone}
+	in.wire = &wire{pools: map[carobbend.UpstreamID]*pool{}, sends: &w.sends, gone: in.catalog.Denied}
 	for i, u := range w.ups {
 		p := &pool{
 			up: u, connect: d.connect, open: map[*conn]struct{}{},
@@ -102,7 +107,7 @@
 			if !sleeper.Sleep(in.ctx, wait) {
 				return
 			}
-			in.catalog.polled(u.ID(), u.Holdings())
+			in.catalog.StatusRead(time.Now(), u.ID(), u.Holdings())
 		}
 	}
 }
--- a/connector/catalog.go
+++ b/cataloger/cataloger.go
@@ -1,4 +1,13 @@
-package connector
+// Package cataloger learns which upstream holds which shard of which snapshot. It does no I/O: it is fed with status
+// reports and with replies, which outweigh the reports, since these lag.
+//
+// # Usage
+//
+//	var c cataloger.Cataloger
+//	c.StatusRead(now, "upstream-1", holdings)
+//	c.Denied(now, "upstream-1", ref) // a reply said that the shard isn't held
+//	layouts := c.Layouts("sales-desk")
+package cataloger
 
 import (
 	"slices"
@@ -26,18 +35,20 @@
 	ref carobbend.ShardRef
 }
 
-// catalog learns which upstream holds which shard. The zero value is ready to use.
-type catalog struct {
+// Cataloger implements carobbend.Catalog. The zero value is ready to use, also by several goroutines at a time.
+type Cataloger struct {
 	current atomic.Pointer[layouts]
 
 	mu       sync.Mutex
-	holdings map[carobbend.UpstreamID][]Holding
+	holdings map[carobbend.UpstreamID][]carobbend.Holding
 	failures map[carobbend.UpstreamID]int
 	gone     map[goneKey]time.Time
 }
 
+var _ carobbend.Catalog = (*Cataloger)(nil)
+
 // Layouts implements carobbend.Catalog.
-func (c *catalog) Layouts(index string) []carobbend.Layout {
+func (c *Cataloger) Layouts(index string) []carobbend.Layout {
 	m := c.current.Load()
 	if m == nil {
 		return nil
@@ -45,12 +56,12 @@
 	return (*m)[index]
 }
 
-// statusRead records a status report.
-func (c *catalog) statusRead(now time.Time, id carobbend.UpstreamID, hs []Holding) {
+// StatusRead records a status report.
+func (c *Cataloger) StatusRead(now time.Time, id carobbend.UpstreamID, hs []carobbend.Holding) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.holdings == nil {
-		c.holdings = map[carobbend.UpstreamID][]Holding{}
+		c.holdings = map[carobbend.UpstreamID][]carobbend.Holding{}
 		c.failures = map[carobbend.UpstreamID]int{}
 		c.gone = map[goneKey]time.Time{}
 	}
@@ -61,8 +72,8 @@
 	}
 }
 
-// statusFailed records a status read that failed.
-func (c *catalog) statusFailed(id carobbend.UpstreamID) {
+// StatusFailed records a status read that failed.
+func (c *Cataloger) StatusFailed(id carobbend.UpstreamID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.holdings[id]) == 0 {
@@ -75,8 +86,8 @@
 	}
 }
 
-// denied records that an upstream replied that it doesn't hold a shard.
-func (c *catalog) denied(now time.Time, id carobbend.UpstreamID, ref carobbend.ShardRef) {
+// Denied records that an upstream replied that it doesn't hold a shard.
+func (c *Cataloger) Denied(now time.Time, id carobbend.UpstreamID, ref carobbend.ShardRef) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.holdings == nil {
@@ -90,7 +101,7 @@
 	}
 }
 
-func (c *catalog) expireGoneLocked(now time.Time) bool {
+func (c *Cataloger) expireGoneLocked(now time.Time) bool {
 	expired := false
 	for k, at := range c.gone {
 		if now.Sub(at) > goneHold {
@@ -107,7 +118,7 @@
 	shards   int
 }
 
-func (c *catalog) rebuildLocked() {
+func (c *Cataloger) rebuildLocked() {
 	byKey := map[layoutKey][][]carobbend.UpstreamID{}
 	for _, id := range sortedIDs(c.holdings) {
 		for _, h := range c.holdings[id] {
@@ -135,7 +146,7 @@
 	return a.Shards() < b.Shards()
 }
 
-func (c *catalog) addLocked(byKey map[layoutKey][][]carobbend.UpstreamID, id carobbend.UpstreamID, h Holding) {
+func (c *Cataloger) addLocked(byKey map[layoutKey][][]carobbend.UpstreamID, id carobbend.UpstreamID, h carobbend.Holding) {
 	if h.Shards <= 0 || h.Shards > maxShards || h.Snapshot == 0 {
 		return
 	}
@@ -156,7 +167,7 @@
 	}
 }
 
-func sortedIDs(m map[carobbend.UpstreamID][]Holding) []carobbend.UpstreamID {
+func sortedIDs(m map[carobbend.UpstreamID][]carobbend.Holding) []carobbend.UpstreamID {
 	ids := make([]carobbend.UpstreamID, 0, len(m))
 	for id := range m {
 		ids = append(ids, id)
@@ -165,6 +176,6 @@
 	return ids
 }
 
-func equalHolding(a, b Holding) bool {
+func equalHolding(a, b carobbend.Holding) bool {
 	return a.Index == b.Index && a.Snapshot == b.Snapshot && a.Shards == b.Shards && slices.Equal(a.Held, b.Held)
 }
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/cataloger"
 	"carobbend.example/carobbend/logger"
 )
 
@@ -44,7 +45,7 @@
 
 // Connector sends shard requests over HTTP. Create it with New.
 type Connector struct {
-	catalog
+	catalog cataloger.Cataloger
 
 	protocol       string
 	connectTimeout time.Duration
@@ -156,6 +157,9 @@
 	}
 }
 
+// Layouts implements carobbend.Catalog.
+func (c *Connector) Layouts(index string) []carobbend.Layout { return c.catalog.Layouts(index) }
+
 // Run polls the status of all upstreams until ctx is done.
 func (c *Connector) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
--- a/connector/poller.go
+++ b/connector/poller.go
@@ -22,9 +22,9 @@
 		}
 		now := time.Now()
 		if err != nil {
-			c.statusFailed(p.up.ID)
+			c.catalog.StatusFailed(p.up.ID)
 		} else {
-			c.statusRead(now, p.up.ID, status.Holdings)
+			c.catalog.StatusRead(now, p.up.ID, status.Holdings)
 			p.stateLeaving(now, status.Leaving)
 		}
 		if !sleeper.Sleep(ctx, c.statusPoll*3/4+rand.N(c.statusPoll/2)) {
--- a/connector/protocol.go
+++ b/connector/protocol.go
@@ -46,13 +46,5 @@
 	ID       carobbend.UpstreamID `json:"id"`
 	Leaving  bool                 `json:"leaving"`
 	Load     float64              `json:"load"`
-	Holdings []Holding            `json:"holdings"`
-}
-
-// Holding says that an upstream holds some shards of a snapshot.
-type Holding struct {
-	Index    string               `json:"index"`
-	Snapshot carobbend.SnapshotID `json:"snapshot"`
-	Shards   int                  `json:"shards"`
-	Held     []int                `json:"held"`
+	Holdings []carobbend.Holding  `json:"holdings"`
 }
--- a/connector/send.go
+++ b/connector/send.go
@@ -52,7 +52,7 @@
 	defer p.release()
 	reply, err := c.search(ctx, p, req)
 	if carobbend.KindOf(err) == carobbend.FailureSnapshotGone {
-		c.denied(time.Now(), id, req.Ref)
+		c.catalog.Denied(time.Now(), id, req.Ref)
 	}
 	return reply, err
 }
--- a/emulator/upstream.go
+++ b/emulator/upstream.go
@@ -13,7 +13,6 @@
 	"carobbend.example/carobbend/sleeper"
 
 	"carobbend.example/carobbend"
-	"carobbend.example/carobbend/connector"
 )
 
 // ServiceTime is a lognormal distribution with rare pauses.
@@ -46,7 +45,7 @@
 }
 
 // Holding says that an upstream holds some shards of a snapshot.
-type Holding = connector.Holding
+type Holding = carobbend.Holding
 
 // UpstreamConfig describes an upstream.
 type UpstreamConfig struct {
--- a/upstream.go
+++ b/upstream.go
@@ -67,6 +67,14 @@
 	Replicas [][]UpstreamID
 }
 
+// Holding says that an upstream holds some shards of a snapshot.
+type Holding struct {
+	Index    string     `json:"index"`
+	Snapshot SnapshotID `json:"snapshot"`
+	Shards   int        `json:"shards"`
+	Held     []int      `json:"held"`
+}
+
 // Shards returns the number of shards of the snapshot.
 func (l Layout) Shards() int { return len(l.Replicas) }
 
