--- a/bencher/deployment.go
+++ b/bencher/deployment.go
@@ -78,9 +78,6 @@
 	return out
 }
 
-// Deployments returns the known names in order.
-func Deployments() []string { return names(deployments) }
-
 func names[T any](m map[string]T) []string {
 	out := make([]string, 0, len(m))
 	for n := range m {
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -122,6 +122,3 @@
 		faults: []fault{{kind: faultReplace, step: 1, at: 0.05, each: 0.13}},
 	},
 }
-
-// Scenarios returns the known names in order.
-func Scenarios() []string { return names(scenarios) }
--- a/cmd/carobbend/demo.go
+++ b/cmd/carobbend/demo.go
@@ -138,15 +138,12 @@
 		Instance: name, DataCentre: dc, Admin: settings.Admin{Token: "demo-admin-token"},
 		Listen:       settings.Listen{Callers: "127.0.0.1:0", Admin: "127.0.0.1:0", Peers: "127.0.0.1:0"},
 		Callers:      []settings.Caller{{Name: "desk-leon", House: "leon", Token: demoToken}},
-		Store:        settings.Store{URL: d.url, CallsPerSecond: settings.DefaultStoreCallsPerSecond, Timeout: settings.DefaultStoreTimeout},
-		InstanceList: settings.InstanceList{URL: d.url, Service: settings.DefaultInstanceService, Poll: 100 * time.Millisecond, Lag: 200 * time.Millisecond},
-		Upstream: settings.Upstream{
-			Protocol: settings.DefaultProtocol, ConnectTimeout: settings.DefaultConnectTimeout,
-			ProgressTimeout: settings.DefaultProgressTimeout, StatusPoll: 100 * time.Millisecond,
-		},
-		Queue: settings.Queue{Length: settings.DefaultQueueLength, Concurrency: settings.DefaultQueueConcurrency},
-		Drain: settings.Drain{AddressValidity: 500 * time.Millisecond, Limit: 3 * time.Second},
+		Store:        settings.Store{URL: d.url},
+		InstanceList: settings.InstanceList{URL: d.url, Poll: 100 * time.Millisecond, Lag: 200 * time.Millisecond},
+		Upstream:     settings.Upstream{StatusPoll: 100 * time.Millisecond},
+		Drain:        settings.Drain{AddressValidity: 500 * time.Millisecond, Limit: 3 * time.Second},
 	}
+	s.ApplyDefaults()
 	s.Indexes = []settings.Index{{Name: demoIndex, Slots: 3, Connections: 30, Upstreams: upstreamsOf(d.desk)}}
 	s.Operations = []settings.Operation{{Name: demoOperation, Slots: 3, Connections: 100, Upstreams: upstreamsOf(d.dispatch)}}
 	return s
--- a/cmd/carobbend/registration.go
+++ b/cmd/carobbend/registration.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carobbend.example/carobbend/logger"
+	"carobbend.example/carobbend/sleeper"
 	"carobbend.example/carobbend/storeclient"
 )
 
@@ -36,9 +37,7 @@
 			r.log.Error(err, "the registration in the instance list failed")
 		}
 		registered = err == nil
-		select {
-		case <-time.After(r.every):
-		case <-ctx.Done():
+		if !sleeper.Sleep(ctx, r.every) {
 			return nil
 		}
 	}
@@ -84,9 +83,7 @@
 		if err == nil {
 			return nil
 		}
-		select {
-		case <-time.After(repeatWait):
-		case <-ctx.Done():
+		if !sleeper.Sleep(ctx, repeatWait) {
 			return errors.Join(err, ctx.Err())
 		}
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -12,7 +12,7 @@
 //
 //	l := limiter.New(limiter.WithSlots(slotsOf), limiter.WithInstances(liveInstances))
 //	b := balancer.New(balancer.WithLimits(l))
-//	conns := limiter.NewConns(members)
+//	share := limiter.Share(30, 7)
 package limiter
 
 import (
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -7,7 +7,8 @@
 //
 // # Usage
 //
-//	l := linker.New(self, linker.WithList(list), linker.WithHandlers(distributor, claimer))
+//	l := linker.New(self, linker.WithList(list))
+//	l.AddHandlers(distributor, claimer)
 //	go l.Serve(listener)
 //	go l.Run(ctx)
 //	reply, err := l.Ask(ctx, "leon-2", frame)
@@ -98,11 +99,6 @@
 // WithList sets the source of the instance list.
 func WithList(l List) Option { return func(k *Linker) { k.list = l } }
 
-// WithHandlers adds handlers of peers' requests; they are asked in order.
-func WithHandlers(hs ...carobbend.PeerHandler) Option {
-	return func(k *Linker) { k.handlers = append(k.handlers, hs...) }
-}
-
 // WithObserver sets a function that brings the own load, readiness and rules version up to date before each notice.
 func WithObserver(f func(self *carobbend.Instance)) Option { return func(k *Linker) { k.observe = f } }
 
@@ -124,7 +120,8 @@
 	return k
 }
 
-// AddHandlers adds handlers; it must be called before Serve.
+// AddHandlers adds handlers of peers' requests, which are asked in order; it must be called before Serve. It is no option,
+// since the handlers need the linker.
 func (k *Linker) AddHandlers(hs ...carobbend.PeerHandler) { k.handlers = append(k.handlers, hs...) }
 
 // Self implements carobbend.Members.
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -108,7 +108,7 @@
 // Guards against handlers that are told the sender's socket address, under which they can't ask it back.
 func TestHandlersAreToldTheInstance(t *testing.T) {
 	r := recorder{from: make(chan string, 1)}
-	a, _ := start(t, "a", WithHandlers(r))
+	a, _ := start(t, "a", func(k *Linker) { k.AddHandlers(r) })
 	b, _ := start(t, "b", WithList(func(context.Context) ([]carobbend.Instance, error) {
 		return []carobbend.Instance{a.Self()}, nil
 	}))
--- a/settings/load.go
+++ b/settings/load.go
@@ -69,7 +69,7 @@
 	if err := yaml.UnmarshalWithOptions(b, s, yaml.Strict()); err != nil {
 		return nil, syntaxError(file, err)
 	}
-	s.applyDefaults()
+	s.ApplyDefaults()
 	if err := s.check(); err != nil {
 		var invalid validator.ValidationErrors
 		if errors.As(err, &invalid) && len(invalid) > 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -167,7 +167,8 @@
 	}
 }
 
-func (s *Settings) applyDefaults() {
+// ApplyDefaults sets the keys that were left out.
+func (s *Settings) ApplyDefaults() {
 	orDefault(&s.Store.CallsPerSecond, DefaultStoreCallsPerSecond)
 	orDefault(&s.Store.Timeout, DefaultStoreTimeout)
 	orDefault(&s.InstanceList.Service, DefaultInstanceService)
