Commit the claims of peers before an instance ends

Cause: claimer.Drain had no caller outside of tests. An instance that shut down could leave requests of peers queued for up to a second; their senders then commit by themselves, so nothing was lost, at the price of a failed request.

Result: the process tests pass; the effect wasn't measured.

--- a/cmd/carobbend/instance.go
+++ b/cmd/carobbend/instance.go
@@ -326,6 +326,10 @@
 	if derr := x.dispatcher.Drain(ctx); derr != nil {
 		x.log.Error(derr, "results of operations were not all recorded")
 	}
+	// Peers may have asked this instance to commit claims, which wait for the next swap of their partition.
+	if derr := x.claims.Drain(ctx); derr != nil {
+		x.log.Error(derr, "claims of peers were not all committed")
+	}
 	if werr := x.registration.withdraw(ctx); werr != nil {
 		x.log.Error(werr, "the instance was not withdrawn from the list")
 	}
