--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -16,6 +16,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -57,9 +58,30 @@
 // WithoutLoadHint ignores reported load, for comparison.
 func WithoutLoadHint() Option { return func(b *Balancer) { b.noHint = true } }
 
+// WithOverdue counts silence against an upstream while a request still runs: a request in flight for longer than usual
+// raises the expected latency at once instead of at its end.
+func WithOverdue() Option { return func(b *Balancer) { b.overdue = true } }
+
+// WithForgetting lets a raised latency estimate return to the upstream's baseline with this time constant while no
+// request is sent to it, so that a short pause doesn't keep it out of use.
+func WithForgetting(d time.Duration) Option { return func(b *Balancer) { b.forget = d } }
+
+// WithDistance scales scores: f returns 1 for the nearest upstreams and more for others. Differences in distance
+// decide only between upstreams of about the same latency.
+func WithDistance(f func(carobbend.UpstreamID) float64) Option {
+	return func(b *Balancer) { b.distance = f }
+}
+
+// WithAllCandidates compares all candidates instead of two random ones; it pays where there are few.
+func WithAllCandidates() Option { return func(b *Balancer) { b.compareAll = true } }
+
 // Balancer implements carobbend.Balancer.
 type Balancer struct {
 	limits      Limits
+	overdue     bool
+	forget      time.Duration
+	distance    func(carobbend.UpstreamID) float64
+	compareAll  bool
 	noEject     bool
 	noSlowStart bool
 	noHint      bool
@@ -69,6 +91,7 @@
 	nodes map[carobbend.UpstreamID]*node
 	// scratch holds the candidates of the pick in progress.
 	scratch []*node
+	scores  []float64
 }
 
 var _ carobbend.Balancer = (*Balancer)(nil)
@@ -119,6 +142,9 @@
 	b.mu.Lock()
 	n := b.node(now, id)
 	n.inFlight++
+	if b.overdue {
+		n.open = append(n.open, now)
+	}
 	late := n.leaving && now.Sub(n.leavingSince) > LeavingBound
 	since := n.leavingSince
 	b.mu.Unlock()
@@ -139,6 +165,7 @@
 	defer b.mu.Unlock()
 	n := b.node(now, id)
 	n.inFlight = max(n.inFlight-1, 0)
+	n.closed(now.Add(-latency))
 	if load >= 0 {
 		n.load, n.loadAt = load, now
 	}
@@ -205,6 +232,9 @@
 	case 1:
 		return nodes[0].id, true
 	}
+	if b.compareAll {
+		return b.best(now, nodes), true
+	}
 	i := b.rng.IntN(len(nodes))
 	j := b.rng.IntN(len(nodes) - 1)
 	if j >= i {
@@ -215,7 +245,7 @@
 	if x.samples == 0 || y.samples == 0 {
 		unknown = max(medianEstimate(nodes), float64(time.Millisecond))
 	}
-	sx, sy := x.score(now, unknown, !b.noHint), y.score(now, unknown, !b.noHint)
+	sx, sy := b.score(now, x, unknown), b.score(now, y, unknown)
 	// Differences within the noise of the estimates would send all requests to the same replica.
 	if sy < sx*(1-tieBand) {
 		return y.id, true
@@ -223,6 +253,45 @@
 	return x.id, true
 }
 
+// best returns the node with the lowest score; one of those within the noise of the estimates is taken at random.
+func (b *Balancer) best(now time.Time, nodes []*node) carobbend.UpstreamID {
+	unknown := 0.0
+	for _, n := range nodes {
+		if n.samples == 0 {
+			unknown = max(medianEstimate(nodes), float64(time.Millisecond))
+			break
+		}
+	}
+	b.scores = b.scores[:0]
+	lowest := math.Inf(1)
+	for _, n := range nodes {
+		s := b.score(now, n, unknown)
+		b.scores = append(b.scores, s)
+		lowest = min(lowest, s)
+	}
+	var chosen *node
+	ties := 0
+	for i, n := range nodes {
+		if b.scores[i]*(1-tieBand) > lowest {
+			continue
+		}
+		ties++
+		if b.rng.IntN(ties) == 0 {
+			chosen = n
+		}
+	}
+	return chosen.id
+}
+
+// score is the expected cost of one more request to n.
+func (b *Balancer) score(now time.Time, n *node, unknown float64) float64 {
+	s := n.score(now, unknown, b.forget, !b.noHint)
+	if b.distance != nil {
+		s *= b.distance(n.id)
+	}
+	return s
+}
+
 // keep returns the nodes that fulfil f; it allocates only where one doesn't.
 func keep(nodes []*node, f func(*node) bool) []*node {
 	out, all := nodes, true
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -25,6 +25,8 @@
 	maxPenalty = time.Second
 	// cutFactor scales the age of a request that was cut: it has lasted at least that long and wasn't near its end.
 	cutFactor = 2
+	// overdueFactor scales the baseline to the age at which a request in flight counts as overdue.
+	overdueFactor = 2
 	// shedPause is the time for which an upstream that shed a request is passed over. 20 ms sent all requests to the
 	// other replicas in turns, which made those shed.
 	shedPause = time.Millisecond
@@ -47,6 +49,8 @@
 type node struct {
 	id       carobbend.UpstreamID
 	inFlight int
+	// open holds the start times of the requests in flight, oldest first.
+	open []time.Time
 	// latency is the smoothed latency in nanoseconds; 0 where none was observed.
 	latency float64
 	// baseline is the latency without load: it falls with the smoothed latency at once and rises slowly.
@@ -69,19 +73,50 @@
 }
 
 // score is the expected cost of one more request; unknown stands in for a latency that was never observed.
-func (n *node) score(now time.Time, unknown float64, hint bool) float64 {
-	s := float64(n.inFlight+1) * (n.estimate(unknown) + n.penaltyNow(now))
+func (n *node) score(now time.Time, unknown float64, forget time.Duration, hint bool) float64 {
+	expected := max(n.estimate(now, unknown, forget), n.overdue(now))
+	s := float64(n.inFlight+1) * (expected + n.penaltyNow(now))
 	if hint {
 		s *= 1 + n.hint(now)
 	}
 	return s
 }
 
-func (n *node) estimate(unknown float64) float64 {
+func (n *node) estimate(now time.Time, unknown float64, forget time.Duration) float64 {
 	if n.samples == 0 {
 		return unknown
 	}
-	return n.latency
+	if forget == 0 || n.latency <= n.baseline {
+		return n.latency
+	}
+	return n.baseline + (n.latency-n.baseline)*math.Exp(-float64(now.Sub(n.observedAt))/float64(forget))
+}
+
+// overdue is what the oldest request in flight says about the latency: it has lasted that long and isn't near its end.
+// Ages that are usual say nothing.
+func (n *node) overdue(now time.Time) float64 {
+	if len(n.open) == 0 {
+		return 0
+	}
+	age := float64(now.Sub(n.open[0]))
+	if n.samples > 0 && age < overdueFactor*n.baseline {
+		return 0
+	}
+	return cutFactor * age
+}
+
+// closed forgets the request in flight that was started nearest to the given time.
+func (n *node) closed(started time.Time) {
+	if len(n.open) == 0 {
+		return
+	}
+	best := 0
+	for i := range n.open {
+		if n.open[i].Sub(started).Abs() < n.open[best].Sub(started).Abs() {
+			best = i
+		}
+	}
+	n.open = append(n.open[:best], n.open[best+1:]...)
 }
 
 // hint is the reported load, which fades to 0 as it ages.
--- a/cmd/carobbend/main.go
+++ b/cmd/carobbend/main.go
@@ -29,6 +29,7 @@
 
 type cli struct {
 	Serve     serveCmd     `cmd:"" help:"Run one entry instance until SIGTERM, then drain and exit."`
+	Forward   forwardCmd   `cmd:"" help:"Run one instance that serves callers by the routing of a platform's store."`
 	Query     queryCmd     `cmd:"" help:"Send one query through an instance and print the answer."`
 	Operate   operateCmd   `cmd:"" help:"Send one operation through an instance and print its outcome."`
 	Addresses addressesCmd `cmd:"" help:"Print the instances that a caller should use now."`
--- /dev/null
+++ b/enroller/enroller.go
@@ -0,0 +1,120 @@
+// Package enroller keeps an instance in the list of instances.
+//
+// The entry stands under a lease that is renewed while the instance lives, so that a killed or silent instance leaves the
+// list by itself. A lost lease or a removed entry is written again; before the instance stops, the lease is ended.
+//
+// # Usage
+//
+//	e := enroller.New(enrolment, self, ttl)
+//	go e.Run(ctx)
+//	e.Missing() // the entry isn't in the list any more
+//	e.Withdraw(ctx)
+package enroller
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/logger"
+)
+
+const (
+	// renewals is the number of renewals within the time of a lease.
+	renewals = 3
+	// callTimeout bounds a call to the store.
+	callTimeout = time.Second
+	// firstBackOff and lastBackOff bound the pause after a failed call.
+	firstBackOff = 100 * time.Millisecond
+	lastBackOff  = time.Second
+)
+
+// Enroller keeps one instance enrolled.
+type Enroller struct {
+	enrolment carobbend.Enrolment
+	self      carobbend.Instance
+	ttl       time.Duration
+	log       logger.Logger
+	missing   chan struct{}
+	withdrawn atomic.Bool
+}
+
+// New returns an enroller; the lease ends ttl after the last renewal.
+func New(e carobbend.Enrolment, self carobbend.Instance, ttl time.Duration) *Enroller {
+	return &Enroller{enrolment: e, self: self, ttl: ttl, log: logger.New("enroller"), missing: make(chan struct{}, 1)}
+}
+
+// Missing tells that the entry was seen to be removed.
+func (e *Enroller) Missing() {
+	select {
+	case e.missing <- struct{}{}:
+	default:
+	}
+}
+
+// Run announces the instance and renews its lease until ctx ends or the instance withdraws.
+func (e *Enroller) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	announced, failures := false, 0
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.missing:
+			if announced {
+				e.log.Info("own entry is missing, announcing again")
+			}
+			announced = false
+		case <-timer.C:
+		}
+		if e.withdrawn.Load() {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		err := e.call(ctx, announced)
+		pause := e.ttl / renewals
+		switch {
+		case err == nil && !announced:
+			e.log.Info("announced", "instance", e.self.Name, "address", e.self.CallerAddress, "ttl", e.ttl)
+			announced = true
+		case err != nil && carobbend.StoreFailureOf(err) == carobbend.StoreNotFound:
+			e.log.Info("lease ended, announcing again")
+			announced, pause = false, 0
+		}
+		if err == nil {
+			if failures > 0 {
+				e.log.Info("store reached", "failed-calls", failures)
+			}
+			failures = 0
+		} else if pause > 0 {
+			if failures == 0 {
+				e.log.Error(err, "announcement or renewal failed")
+			}
+			d := min(firstBackOff<<min(failures, 10), lastBackOff)
+			pause = d/2 + rand.N(d/2)
+			failures++
+		}
+		timer.Reset(pause)
+	}
+}
+
+func (e *Enroller) call(ctx context.Context, announced bool) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if announced {
+		return e.enrolment.Renew(ctx)
+	}
+	return e.enrolment.Announce(ctx, e.self, e.ttl)
+}
+
+// Withdraw removes the instance from the list and lets Run renew nothing more. A failure leaves the removal to the end of
+// the lease.
+func (e *Enroller) Withdraw(ctx context.Context) error {
+	e.withdrawn.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return e.enrolment.Withdraw(ctx)
+}
--- /dev/null
+++ b/exchanger/pool.go
@@ -0,0 +1,171 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// readBuffer is the size of a connection's read buffer in bytes; most replies of shards fit.
+const readBuffer = 2048
+
+// keepAlive finds connections that went silent without a reset within about two seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+
+// pool holds the connections to one upstream.
+type pool struct {
+	x       *Exchanger
+	address string
+
+	mu      sync.Mutex
+	idle    []*conn
+	inUse   int
+	waiters []chan struct{}
+	retired bool
+}
+
+// conn is one connection; it serves one request at a time.
+type conn struct {
+	net.Conn
+	r    *bufio.Reader
+	pool *pool
+	// idleUntil is the time after which it isn't used again.
+	idleUntil time.Time
+	used      bool
+	closed    sync.Once
+}
+
+func newPool(x *Exchanger, address string) *pool { return &pool{x: x, address: address} }
+
+// acquire takes a right to one connection, waiting until ctx ends while all are in use.
+func (p *pool) acquire(ctx context.Context, limit int) error {
+	p.mu.Lock()
+	if p.inUse < max(limit, 1) {
+		p.inUse++
+		p.mu.Unlock()
+		return nil
+	}
+	w := make(chan struct{})
+	p.waiters = append(p.waiters, w)
+	p.mu.Unlock()
+	select {
+	case <-w:
+		return nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, o := range p.waiters {
+		if o == w {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			return ctx.Err()
+		}
+	}
+	// The right was handed over at the same moment.
+	p.handOver()
+	return ctx.Err()
+}
+
+// release gives the right back and keeps the connection if it can be used again.
+func (p *pool) release(c *conn, reusable bool) {
+	p.mu.Lock()
+	keep := reusable && !p.retired
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	p.handOver()
+	p.mu.Unlock()
+	if c != nil && !keep {
+		c.close()
+	}
+}
+
+// handOver passes a right to the first waiter, or gives it back.
+func (p *pool) handOver() {
+	if len(p.waiters) == 0 {
+		p.inUse--
+		return
+	}
+	close(p.waiters[0])
+	p.waiters = p.waiters[1:]
+}
+
+// takeIdle returns the connection that was used last and is still sound, or nil.
+func (p *pool) takeIdle(now time.Time) *conn {
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if now.Before(c.idleUntil) && c.quiet() {
+			return c
+		}
+		c.close()
+	}
+}
+
+// dial opens a connection.
+func (p *pool) dial(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.x.connectTimeout)
+	defer cancel()
+	d := net.Dialer{KeepAliveConfig: keepAlive}
+	nc, err := d.DialContext(ctx, "tcp4", p.address)
+	if err != nil {
+		return nil, err
+	}
+	p.x.opened.Add(1)
+	p.x.open.Add(1)
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBuffer), pool: p}, nil
+}
+
+// retire closes the idle connections and lets none become idle again.
+func (p *pool) retire() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.retired = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
+// close may be called more than once.
+func (c *conn) close() {
+	c.closed.Do(func() {
+		// The connection is given up; there is nothing to do about an error.
+		_ = c.Conn.Close()
+		c.pool.x.open.Add(-1)
+	})
+}
+
+// quiet reports whether nothing has arrived on an idle connection, neither bytes nor its end.
+func (c *conn) quiet() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	tc, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/feed.go
@@ -0,0 +1,46 @@
+package carobbend
+
+import (
+	"context"
+	"time"
+)
+
+// Feed is what a platform's store tells an instance: routing, upstreams and instances. An error is a *StoreError; its
+// kind compacted says that the changes after a revision are no longer known.
+type Feed interface {
+	// List returns everything as of a revision.
+	List(ctx context.Context) (Listing, error)
+	// Changes waits until something changed after the revision, at most wait, and returns the changes and the revision
+	// to continue from.
+	Changes(ctx context.Context, after uint64, wait time.Duration) ([]FeedChange, uint64, error)
+}
+
+// Listing is the whole content of a Feed.
+type Listing struct {
+	Revision uint64
+	// Routing is nil before the first one.
+	Routing   *Routing
+	Upstreams map[string]UpstreamRecord
+	Instances map[string]Instance
+}
+
+// FeedChange is one change; exactly one of its fields is set.
+type FeedChange struct {
+	Routing  *Routing
+	Upstream *UpstreamRecord
+	Instance *Instance
+	// GoneUpstream and GoneInstance name entries that were removed.
+	GoneUpstream string
+	GoneInstance string
+}
+
+// Enrolment keeps an instance in the list of instances. An error is a *StoreError; its kind not-found says that the
+// lease has ended.
+type Enrolment interface {
+	// Announce writes the instance under a lease that ends after ttl without Renew. It may be repeated.
+	Announce(ctx context.Context, self Instance, ttl time.Duration) error
+	// Renew keeps the lease.
+	Renew(ctx context.Context) error
+	// Withdraw ends the lease, which removes the instance at once.
+	Withdraw(ctx context.Context) error
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,212 @@
+// Package follower keeps an instance's routing, upstreams and instances in step with the store.
+//
+// It reads everything once and then follows the changes. While the store is away the last state stays in use; removals
+// that come with an outage are held back as package registrar describes. After the store dropped its history, everything
+// is read anew and compared.
+//
+// # Usage
+//
+//	f := follower.New(feed, follower.Handlers{Routing: apply, Upstreams: update, Instances: changed})
+//	err := f.Run(ctx) // until ctx ends
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/logger"
+	"carobbend.example/carobbend/registrar"
+	"carobbend.example/carobbend/sleeper"
+)
+
+const (
+	// Grace is how long removals are held back after the store's return; owners that live write their entries again
+	// within about this time.
+	Grace = 2 * time.Second
+	// watchWait bounds one watch. A quiet watch costs a call, a lost one is noticed this much later at the worst; TCP
+	// keep-alive notices most of them before.
+	watchWait = 5 * time.Second
+	// watchSlack is the time that a watch may take beyond its wait.
+	watchSlack = 1500 * time.Millisecond
+	// listTimeout bounds the reading of everything.
+	listTimeout = 2 * time.Second
+	// collect is the pause after changes, in which further ones gather for the next call.
+	collect = 150 * time.Millisecond
+	// firstBackOff and lastBackOff bound the pause after a failed call.
+	firstBackOff = 100 * time.Millisecond
+	lastBackOff  = time.Second
+)
+
+// Handlers receive what changed; they are called one at a time.
+type Handlers struct {
+	// Routing returns false where the routing isn't newer than the one in force.
+	Routing   func(*carobbend.Routing) bool
+	Upstreams func(map[string]carobbend.UpstreamRecord)
+	Instances func(map[string]carobbend.Instance)
+}
+
+// Follower follows one feed.
+type Follower struct {
+	feed     carobbend.Feed
+	handlers Handlers
+	log      logger.Logger
+
+	upstreams *registrar.Registry[carobbend.UpstreamRecord]
+	instances *registrar.Registry[carobbend.Instance]
+
+	revision uint64
+	synced   bool
+	// away says that the last call failed; failures counts those in a row.
+	away     bool
+	failures int
+	lostAt   time.Time
+}
+
+// New returns a follower that knows nothing yet.
+func New(feed carobbend.Feed, h Handlers) *Follower {
+	return &Follower{
+		feed: feed, handlers: h, log: logger.New("follower"), away: true,
+		upstreams: registrar.New[carobbend.UpstreamRecord](Grace),
+		instances: registrar.New[carobbend.Instance](Grace),
+	}
+}
+
+// Run follows the feed until ctx ends, and returns its error.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed, err := f.step(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			sleeper.Sleep(ctx, f.failed(time.Now(), err))
+		case changed:
+			sleeper.Sleep(ctx, collect)
+		}
+	}
+	return ctx.Err()
+}
+
+// step makes one call to the feed and reports whether anything changed.
+func (f *Follower) step(ctx context.Context) (bool, error) {
+	if !f.synced {
+		return true, f.list(ctx)
+	}
+	wait := watchWait
+	if f.upstreams.Held()+f.instances.Held() > 0 {
+		wait = Grace / 2
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	changes, next, err := f.feed.Changes(ctx, f.revision, wait)
+	if err != nil {
+		return false, err
+	}
+	now := time.Now()
+	f.reached(now)
+	f.revision = max(f.revision, next)
+	f.apply(now, changes)
+	return len(changes) > 0, nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l, err := f.feed.List(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	f.reached(now)
+	f.synced, f.revision = true, l.Revision
+	if l.Routing != nil {
+		f.route(l.Routing)
+	}
+	f.upstreams.Replace(now, l.Upstreams)
+	f.instances.Replace(now, l.Instances)
+	f.log.Info("state read", "revision", l.Revision, "upstreams", len(l.Upstreams), "instances", len(l.Instances),
+		"removals-held", f.upstreams.Held()+f.instances.Held())
+	f.publish(true, true)
+	return nil
+}
+
+func (f *Follower) apply(now time.Time, changes []carobbend.FeedChange) {
+	upstreams, instances := false, false
+	for _, c := range changes {
+		switch {
+		case c.Routing != nil:
+			f.route(c.Routing)
+		case c.Upstream != nil:
+			f.upstreams.Put(string(c.Upstream.ID), *c.Upstream)
+			upstreams = true
+		case c.Instance != nil:
+			f.instances.Put(c.Instance.Name, *c.Instance)
+			instances = true
+		case c.GoneUpstream != "":
+			if f.upstreams.Remove(now, c.GoneUpstream) {
+				upstreams = true
+			}
+		case c.GoneInstance != "":
+			if f.instances.Remove(now, c.GoneInstance) {
+				instances = true
+			}
+		}
+	}
+	upstreams = len(f.upstreams.Expire(now)) > 0 || upstreams
+	instances = len(f.instances.Expire(now)) > 0 || instances
+	f.publish(upstreams, instances)
+}
+
+func (f *Follower) publish(upstreams, instances bool) {
+	if upstreams {
+		f.handlers.Upstreams(f.upstreams.All())
+	}
+	if instances {
+		f.handlers.Instances(f.instances.All())
+	}
+}
+
+func (f *Follower) route(r *carobbend.Routing) {
+	if f.handlers.Routing(r) {
+		f.log.Info("routing in force", "version", r.Version, "routes", len(r.Routes), "services", len(r.Services))
+	}
+}
+
+// reached records that the store answered.
+func (f *Follower) reached(now time.Time) {
+	f.failures = 0
+	if !f.away {
+		return
+	}
+	f.away = false
+	f.upstreams.Regained(now)
+	f.instances.Regained(now)
+	f.log.Info("store reached", "away-ms", sinceMs(now, f.lostAt), "revision", f.revision)
+}
+
+// failed records a failed call and returns the pause before the next one.
+func (f *Follower) failed(now time.Time, err error) time.Duration {
+	if carobbend.StoreFailureOf(err) == carobbend.StoreCompacted {
+		f.synced = false
+		f.log.Info("history gone, everything is read anew", "revision", f.revision)
+		return 0
+	}
+	f.failures++
+	if !f.away {
+		f.away, f.lostAt = true, now
+		f.upstreams.Lost(now)
+		f.instances.Lost(now)
+		f.log.Error(err, "store lost", "revision", f.revision)
+	}
+	d := min(firstBackOff<<min(f.failures-1, 10), lastBackOff)
+	return d/2 + rand.N(d/2)
+}
+
+func sinceMs(now, at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return now.Sub(at).Milliseconds()
+}
--- /dev/null
+++ b/forwarder/fleet.go
@@ -0,0 +1,107 @@
+package forwarder
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/limiter"
+)
+
+// Fleet is the current list of upstreams by service. The zero value is empty; it is safe for concurrent use.
+type Fleet struct {
+	view atomic.Pointer[view]
+}
+
+type view struct {
+	services map[string][]carobbend.UpstreamID
+	records  map[carobbend.UpstreamID]carobbend.UpstreamRecord
+}
+
+// Change lists what differs between two updates of a fleet.
+type Change struct {
+	// Joined are new upstreams or new processes under a known id, Left are gone, Leaving take no new work since now.
+	Joined, Left, Leaving []carobbend.UpstreamRecord
+}
+
+// Update replaces the list and returns the difference.
+func (f *Fleet) Update(records []carobbend.UpstreamRecord) Change {
+	v := &view{
+		services: map[string][]carobbend.UpstreamID{},
+		records:  make(map[carobbend.UpstreamID]carobbend.UpstreamRecord, len(records)),
+	}
+	for _, r := range records {
+		v.records[r.ID] = r
+		if !r.Leaving {
+			v.services[r.Service] = append(v.services[r.Service], r.ID)
+		}
+	}
+	for _, ids := range v.services {
+		slices.Sort(ids)
+	}
+	var c Change
+	old := f.view.Swap(v)
+	if old == nil {
+		old = &view{}
+	}
+	for id, r := range v.records {
+		o, known := old.records[id]
+		switch {
+		case !known || o.Born != r.Born || o.Address != r.Address:
+			c.Joined = append(c.Joined, r)
+		case r.Leaving && !o.Leaving:
+			c.Leaving = append(c.Leaving, r)
+		}
+	}
+	for id, o := range old.records {
+		if _, ok := v.records[id]; !ok {
+			c.Left = append(c.Left, o)
+		}
+	}
+	byID := func(a, b carobbend.UpstreamRecord) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(c.Joined, byID)
+	slices.SortFunc(c.Left, byID)
+	slices.SortFunc(c.Leaving, byID)
+	return c
+}
+
+// Candidates returns the upstreams of a service that take new work, ordered by id; the result must not be modified.
+func (f *Fleet) Candidates(service string) []carobbend.UpstreamID {
+	if v := f.view.Load(); v != nil {
+		return v.services[service]
+	}
+	return nil
+}
+
+// Record returns what an upstream announced.
+func (f *Fleet) Record(id carobbend.UpstreamID) (carobbend.UpstreamRecord, bool) {
+	v := f.view.Load()
+	if v == nil {
+		return carobbend.UpstreamRecord{}, false
+	}
+	r, ok := v.records[id]
+	return r, ok
+}
+
+// Size returns the number of upstreams, leaving ones included.
+func (f *Fleet) Size() int {
+	if v := f.view.Load(); v != nil {
+		return len(v.records)
+	}
+	return 0
+}
+
+// target returns where to send a request and how many connections may be held there.
+func (f *Forwarder) target(id carobbend.UpstreamID, maxConns int) (exchanger.Target, bool) {
+	r, ok := f.fleet.Record(id)
+	if !ok {
+		return exchanger.Target{}, false
+	}
+	share := unboundedConns
+	if maxConns > 0 {
+		share = limiter.Share(maxConns, max(f.instances(), 1))
+	}
+	return exchanger.Target{ID: id, Address: r.Address, MaxConns: share}, true
+}
--- /dev/null
+++ b/forwarder/query.go
@@ -0,0 +1,327 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/gatherer"
+	"carobbend.example/carobbend/router"
+)
+
+const (
+	// hedgeShare is the part of the latency target after which a shard is asked of another upstream. In trials 0.2 and
+	// 0.6 earned 1 to 4% less on nearly every day.
+	hedgeShare = 0.4
+	// answerMargin is the time before the latency target at which an answer leaves, for the way to the caller.
+	answerMargin = 8 * time.Millisecond
+	// deadlineMargin is the time before the deadline at which a failure leaves.
+	deadlineMargin = 5 * time.Millisecond
+)
+
+// query is one request of a caller.
+type query struct {
+	f        *Forwarder
+	began    time.Time
+	id       string
+	table    *router.Table
+	route    *router.Route
+	services []string
+	deadline time.Time
+	request  exchanger.Request
+
+	gather  *gatherer.Gather
+	results chan result
+	open    map[*exchanger.Attempt]struct{}
+	// asked holds the upstreams of each shard that were asked.
+	asked [][]carobbend.UpstreamID
+	parts []*exchanger.Reply
+	// failure is the last failure that an upstream stated itself.
+	failure *exchanger.Reply
+
+	hedges, retries int
+	lastKind        carobbend.FailureKind
+	outcome         Outcome
+	reason          string
+}
+
+// result is the end of an attempt.
+type result struct {
+	shard   int
+	attempt *exchanger.Attempt
+	reply   *exchanger.Reply
+	kind    carobbend.FailureKind
+}
+
+func (q *query) routeName() string {
+	if q.route == nil {
+		return ""
+	}
+	return q.route.Name
+}
+
+// fansOut reports whether the answer is combined from shards.
+func (q *query) fansOut() bool { return len(q.route.Shards) > 0 }
+
+func (q *query) plan() gatherer.Plan {
+	p := gatherer.Plan{
+		Shards: len(q.services), MinCoverage: 1, Attempts: max(q.route.Attempts, 1), Repeatable: q.route.Repeatable,
+		Deadline: q.deadline.Add(-deadlineMargin),
+	}
+	if t := q.route.Target; t > 0 {
+		p.HedgeDelay = time.Duration(hedgeShare * float64(t))
+	}
+	if q.fansOut() {
+		p.MinCoverage = q.route.MinCoverage
+		p.Repeatable = true
+		if q.route.Target > 0 {
+			p.AnswerBy = q.began.Add(q.route.Target - answerMargin)
+		}
+	}
+	return p
+}
+
+// serve asks upstreams until the gather ends, and answers.
+func (q *query) serve(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithCancel(callerContext(r))
+	defer cancel()
+	p := q.plan()
+	q.gather = gatherer.New(p)
+	// Attempts never block on the channel, also after the query has ended.
+	q.results = make(chan result, p.Shards*(p.Attempts+maxSpare))
+	q.open = make(map[*exchanger.Attempt]struct{}, p.Shards)
+	q.asked = make([][]carobbend.UpstreamID, p.Shards)
+	q.parts = make([]*exchanger.Reply, p.Shards)
+	defer q.cancelOpen()
+	now := time.Now()
+	for i := range q.services {
+		q.attempt(ctx, now, i, AttemptPrimary)
+	}
+	switch step := q.run(ctx); {
+	case ctx.Err() != nil:
+		q.outcome, q.reason = OutcomeGone, "the caller left"
+	case step.Action == gatherer.Answer:
+		q.answer(w)
+	default:
+		q.fail(w, step.Reason)
+	}
+}
+
+// maxSpare is the number of results of a shard beyond its attempts that may end as not run.
+const maxSpare = 3
+
+// run moves the gather on until it ends or the caller leaves.
+func (q *query) run(ctx context.Context) gatherer.Step {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		step := q.gather.Next(now)
+		if step.Action != gatherer.Wait {
+			return step
+		}
+		if len(step.Ask) > 0 {
+			for _, a := range step.Ask {
+				kind := AttemptRetry
+				if a.Hedge {
+					kind = AttemptHedge
+				}
+				q.attempt(ctx, now, a.Shard, kind)
+			}
+			continue
+		}
+		timer.Reset(step.Until.Sub(now))
+		select {
+		case res := <-q.results:
+			q.take(res)
+			q.takeWaiting()
+		case <-timer.C:
+		case <-ctx.Done():
+			return gatherer.Step{Action: gatherer.Fail}
+		}
+	}
+}
+
+// takeWaiting takes the results that are there already, so that the gather is asked once for all of them.
+func (q *query) takeWaiting() {
+	for {
+		select {
+		case res := <-q.results:
+			q.take(res)
+		default:
+			return
+		}
+	}
+}
+
+// attempt starts an attempt or tells the gather that it can't be started.
+func (q *query) attempt(ctx context.Context, now time.Time, shard int, kind AttemptKind) {
+	f, service := q.f, q.services[shard]
+	s, _ := q.table.Service(service)
+	id, ok := f.Balancer.Pick(now, f.fleet.Candidates(service), q.asked[shard])
+	if !ok || (kind != AttemptPrimary && slices.Contains(q.asked[shard], id)) {
+		q.gather.Denied(shard, now)
+		return
+	}
+	t, ok := f.target(id, s.MaxConns)
+	if !ok {
+		q.gather.Denied(shard, now)
+		return
+	}
+	if kind == AttemptPrimary {
+		f.Budget.Earn(service, 1, f.ExtraLoad)
+	} else if !f.Budget.Spend(service) {
+		q.gather.Denied(shard, now)
+		return
+	}
+	switch kind {
+	case AttemptHedge:
+		q.hedges++
+	case AttemptRetry:
+		q.retries++
+	case AttemptPrimary:
+	}
+	f.Balancer.Sent(now, id)
+	q.gather.Sent(shard, now)
+	q.asked[shard] = append(q.asked[shard], id)
+	a := f.Exchanger.Attempt(ctx)
+	q.open[a] = struct{}{}
+	go func() {
+		reply, err := a.Do(t, &q.request)
+		q.results <- q.judge(now, shard, a, t, kind, reply, err)
+	}()
+}
+
+// judge tells the balancer how an attempt ended. It runs on the attempt's goroutine and may outlive the query.
+func (q *query) judge(
+	sent time.Time, shard int, a *exchanger.Attempt, t exchanger.Target, attempt AttemptKind, reply *exchanger.Reply, err error,
+) result {
+	kind := exchanger.KindOf(err)
+	load := -1.0
+	if reply != nil {
+		kind = q.kindOf(reply)
+		if reply.HasLoad {
+			load = reply.Load.Utilization()
+		}
+	}
+	now := time.Now()
+	q.f.Balancer.Finished(now, t.ID, now.Sub(sent), kind, load)
+	if q.f.Recorder != nil {
+		q.f.Recorder.Attempted(attempt, kind)
+	}
+	return result{shard: shard, attempt: a, reply: reply, kind: kind}
+}
+
+// kindOf says what a complete reply is worth.
+func (q *query) kindOf(reply *exchanger.Reply) carobbend.FailureKind {
+	switch {
+	case reply.Status == exchanger.StatusMisdirected:
+		return carobbend.FailureLeaving
+	case reply.NotRun:
+		return carobbend.FailureShed
+	case reply.Status/100 != 2:
+		return carobbend.FailureBroken
+	case reply.Header.Get(q.f.Headers.Proof) == "" || reply.Header.Get("Content-Encoding") != "":
+		return carobbend.FailureIdentity
+	default:
+		return carobbend.FailureNone
+	}
+}
+
+// take records the end of an attempt.
+func (q *query) take(res result) {
+	delete(q.open, res.attempt)
+	if res.kind == carobbend.FailureNone {
+		if q.gather.Replied(res.shard) {
+			q.parts[res.shard] = res.reply
+		}
+		return
+	}
+	q.lastKind = res.kind
+	if res.reply != nil && res.kind == carobbend.FailureBroken {
+		q.failure = res.reply
+	}
+	q.gather.Failed(res.shard, res.kind)
+}
+
+func (q *query) cancelOpen() {
+	for a := range q.open {
+		a.Cancel()
+	}
+}
+
+// answer sends what the gather covered.
+func (q *query) answer(w http.ResponseWriter) {
+	if !q.fansOut() {
+		q.outcome = OutcomeWhole
+		q.passOn(w, q.parts[0])
+		return
+	}
+	bodies := make([][]byte, 0, len(q.parts))
+	proofs := make([]string, 0, len(q.parts))
+	for _, p := range q.parts {
+		if p != nil {
+			bodies = append(bodies, p.Body)
+			proofs = append(proofs, p.Header.Get(q.f.Headers.Proof))
+		}
+	}
+	body := gatherer.Merge(q.route.Records, bodies...)
+	missing := len(q.parts) - len(proofs)
+	q.outcome = OutcomeWhole
+	if missing > 0 {
+		q.outcome = OutcomePartial
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set(q.f.Headers.RequestID, q.id)
+	h.Set(q.f.Headers.Proofs, strings.Join(proofs, ", "))
+	h.Set(q.f.Headers.Missing, strconv.Itoa(missing))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(http.StatusOK)
+	// A caller that left gets no answer.
+	_, _ = w.Write(body)
+}
+
+// passOn sends an upstream's reply as it came.
+func (q *query) passOn(w http.ResponseWriter, reply *exchanger.Reply) {
+	h := w.Header()
+	q.f.Exchanger.PassOn(reply.Header, func(name, value string) {
+		if name != q.f.Headers.Load {
+			h.Add(name, value)
+		}
+	})
+	if _, ok := h["Content-Type"]; !ok {
+		// Without this the server would guess a type that the upstream didn't state.
+		h["Content-Type"] = nil
+	}
+	h.Set(q.f.Headers.RequestID, q.id)
+	if reply.Status != http.StatusNoContent && reply.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	}
+	w.WriteHeader(reply.Status)
+	// A caller that left gets no answer.
+	_, _ = w.Write(reply.Body)
+}
+
+// fail sends the failure that says most: that nothing ran, what an upstream stated, or that attempts failed.
+func (q *query) fail(w http.ResponseWriter, reason gatherer.Reason) {
+	switch {
+	case q.gather.Runs() == 0:
+		q.end(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", retryAfter})
+	case !q.fansOut() && q.failure != nil:
+		q.outcome = OutcomeUpstream
+		q.passOn(w, q.failure)
+	case reason == gatherer.ReasonDeadline:
+		q.end(w, &refusal{http.StatusGatewayTimeout, OutcomeTimeout, "no answer came in time", 0})
+	default:
+		q.end(w, &refusal{http.StatusBadGateway, OutcomeFailed, "attempts failed and may have run", 0})
+	}
+}
+
+func asMaxBytes(err error, target **http.MaxBytesError) bool { return errors.As(err, target) }
--- /dev/null
+++ b/gatherer/gatherer.go
@@ -0,0 +1,239 @@
+// Package gatherer decides what becomes of one request to all shards of a route.
+//
+// A Gather is a state machine without I/O: it is told what was sent, what came back and what time it is, and says which
+// shards to ask again and when to stop. A request to a single service is a gather of one shard.
+//
+// The answer leaves as soon as all shards are covered. At the time AnswerBy, which lies shortly before the latency
+// target, it leaves if the least coverage is reached, since a whole answer after the target is worth less than most of
+// one before it; afterwards it leaves as soon as the least coverage is reached. A gather that can't reach it any more
+// ends at once.
+//
+// # Usage
+//
+//	g := gatherer.New(plan)
+//	for shard := range plan.Shards {
+//		g.Sent(shard, now)
+//	}
+//	switch step := g.Next(now); step.Action {
+//	case gatherer.Wait: // ask step.Ask, then wait for a reply or step.Until
+//	case gatherer.Answer:
+//	case gatherer.Fail:
+//	}
+package gatherer
+
+import (
+	"math"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+// Plan bounds a gather.
+type Plan struct {
+	// Shards is the number of shards, at least 1.
+	Shards int
+	// MinCoverage is the least share of covered shards of an answer, from 0 to 1.
+	MinCoverage float64
+	// Attempts is the greatest number of upstreams of a shard that may run the request.
+	Attempts int
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
+	// HedgeDelay is the age of a shard's first attempt at which another upstream is asked; 0 means never.
+	HedgeDelay time.Duration
+	// AnswerBy is the time from which the least coverage is enough; zero means that it never is.
+	AnswerBy time.Time
+	// Deadline ends the gather.
+	Deadline time.Time
+}
+
+const (
+	// maxRefusals is the number of attempts of a shard, beyond Plan.Attempts, that may end as not run.
+	maxRefusals = 2
+	// hedgePause is the time until a hedge that was denied is tried again.
+	hedgePause = 10 * time.Millisecond
+	// coverageSlack absorbs the rounding of a share that is a whole number of shards.
+	coverageSlack = 1e-9
+)
+
+// Action is what a Step asks for.
+type Action int
+
+const (
+	// Wait goes on until a reply arrives or Step.Until.
+	Wait Action = iota
+	// Answer ends with the covered shards.
+	Answer
+	// Fail ends without an answer.
+	Fail
+)
+
+// Reason says why a gather failed.
+type Reason string
+
+const (
+	// ReasonDeadline says that the time was over.
+	ReasonDeadline Reason = "deadline"
+	// ReasonShards says that too many shards can't be covered any more.
+	ReasonShards Reason = "shards-lost"
+)
+
+// Ask is a further attempt for a shard.
+type Ask struct {
+	Shard int
+	// Hedge says that another attempt is still open; otherwise the last one failed.
+	Hedge bool
+}
+
+// Step is the next thing to do.
+type Step struct {
+	Action Action
+	// Reason is set with Fail.
+	Reason Reason
+	// Ask lists attempts to start; each is answered by Sent or Denied.
+	Ask []Ask
+	// Until is the time of the next step at the latest.
+	Until time.Time
+}
+
+// shard is the state of one shard.
+type shard struct {
+	covered bool
+	// lost says that no further attempt will be made.
+	lost bool
+	open int
+	// runs counts the attempts that may have run, asked all of them.
+	runs, asked int
+	hedgeAt     time.Time
+}
+
+// Gather is the state of one request.
+type Gather struct {
+	plan    Plan
+	need    int
+	covered int
+	lost    int
+	shards  []shard
+	ask     []Ask
+}
+
+// New returns a gather of which nothing was sent.
+func New(p Plan) *Gather {
+	need := int(math.Ceil(float64(p.Shards)*p.MinCoverage - coverageSlack))
+	return &Gather{plan: p, need: min(max(need, 1), p.Shards), shards: make([]shard, p.Shards)}
+}
+
+// Covered returns the number of shards with a reply.
+func (g *Gather) Covered() int { return g.covered }
+
+// Need returns the number of shards that an answer needs.
+func (g *Gather) Need() int { return g.need }
+
+// IsCovered reports whether a shard has a reply.
+func (g *Gather) IsCovered(i int) bool { return g.shards[i].covered }
+
+// Runs returns the number of attempts that may have run, over all shards.
+func (g *Gather) Runs() int {
+	n := 0
+	for i := range g.shards {
+		n += g.shards[i].runs
+	}
+	return n
+}
+
+// Sent records the start of an attempt.
+func (g *Gather) Sent(i int, now time.Time) {
+	s := &g.shards[i]
+	s.open++
+	s.runs++
+	s.asked++
+	if s.asked == 1 && g.plan.HedgeDelay > 0 && g.plan.Repeatable {
+		s.hedgeAt = now.Add(g.plan.HedgeDelay)
+	} else {
+		s.hedgeAt = time.Time{}
+	}
+}
+
+// Denied records that an attempt couldn't be started. A hedge is tried again later; without another attempt open the
+// shard is lost.
+func (g *Gather) Denied(i int, now time.Time) {
+	s := &g.shards[i]
+	if s.open > 0 {
+		s.hedgeAt = now.Add(hedgePause)
+		return
+	}
+	g.lose(s)
+}
+
+// Replied records a reply that covers the shard and returns false where it isn't the first one.
+func (g *Gather) Replied(i int) bool {
+	s := &g.shards[i]
+	s.open--
+	if s.covered {
+		return false
+	}
+	if s.lost {
+		s.lost = false
+		g.lost--
+	}
+	s.covered = true
+	g.covered++
+	return true
+}
+
+// Failed records the end of an attempt without a usable reply.
+func (g *Gather) Failed(i int, kind carobbend.FailureKind) {
+	s := &g.shards[i]
+	s.open--
+	notRun := kind == carobbend.FailureNotSent || kind == carobbend.FailureShed || kind == carobbend.FailureLeaving
+	if notRun {
+		s.runs--
+	}
+	if s.covered || s.lost || s.open > 0 {
+		return
+	}
+	again := s.runs < g.plan.Attempts && s.asked < g.plan.Attempts+maxRefusals && (g.plan.Repeatable || s.runs == 0)
+	if !again {
+		g.lose(s)
+		return
+	}
+	g.ask = append(g.ask, Ask{Shard: i})
+}
+
+func (g *Gather) lose(s *shard) {
+	if !s.lost && !s.covered {
+		s.lost = true
+		g.lost++
+	}
+}
+
+// Next returns what to do now. It is called again after the attempts that it asks for were started or denied.
+func (g *Gather) Next(now time.Time) Step {
+	open := g.plan.Shards - g.covered - g.lost
+	switch {
+	case open == 0 && g.covered >= g.need:
+		return Step{Action: Answer}
+	case g.covered+open < g.need:
+		return Step{Action: Fail, Reason: ReasonShards}
+	case g.covered >= g.need && !g.plan.AnswerBy.IsZero() && !now.Before(g.plan.AnswerBy):
+		return Step{Action: Answer}
+	case !now.Before(g.plan.Deadline):
+		return Step{Action: Fail, Reason: ReasonDeadline}
+	}
+	step := Step{Action: Wait, Ask: g.ask, Until: g.plan.Deadline}
+	g.ask = nil
+	if a := g.plan.AnswerBy; !a.IsZero() && now.Before(a) && a.Before(step.Until) {
+		step.Until = a
+	}
+	for i := range g.shards {
+		s := &g.shards[i]
+		if s.covered || s.lost || s.open != 1 || s.hedgeAt.IsZero() || s.runs >= g.plan.Attempts {
+			continue
+		}
+		if !now.Before(s.hedgeAt) {
+			step.Ask = append(step.Ask, Ask{Shard: i, Hedge: true})
+		} else if s.hedgeAt.Before(step.Until) {
+			step.Until = s.hedgeAt
+		}
+	}
+	return step
+}
--- /dev/null
+++ b/gatherer/gatherer_test.go
@@ -0,0 +1,219 @@
+package gatherer
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func search() Plan {
+	return Plan{
+		Shards: 10, MinCoverage: 0.89, Attempts: 2, Repeatable: true, HedgeDelay: 60 * time.Millisecond,
+		AnswerBy: at(142), Deadline: at(1500),
+	}
+}
+
+func begin(p Plan) *Gather {
+	g := New(p)
+	for i := range p.Shards {
+		g.Sent(i, start)
+	}
+	return g
+}
+
+func replied(g *Gather, n int) {
+	for i := range n {
+		g.Replied(i)
+	}
+}
+
+// TestStopsWaitingAtTheTarget guards against waiting for a straggler until the answer is late.
+func TestStopsWaitingAtTheTarget(t *testing.T) {
+	g := begin(search())
+	replied(g, 9)
+	if got := g.Next(at(141)); got.Action != Wait {
+		t.Errorf("before the target: got action %v, want Wait", got.Action)
+	}
+	if got := g.Next(at(142)); got.Action != Answer || g.Covered() != 9 {
+		t.Errorf("at the target: got action %v with %d shards, want Answer with 9", got.Action, g.Covered())
+	}
+}
+
+// TestLeastCoverage guards against an answer below the least coverage, and against holding it once it is reached.
+func TestLeastCoverage(t *testing.T) {
+	g := begin(search())
+	replied(g, 8)
+	if got := g.Next(at(500)); got.Action != Wait {
+		t.Errorf("with 8 of 10: got action %v, want Wait", got.Action)
+	}
+	g.Replied(9)
+	if got := g.Next(at(501)); got.Action != Answer {
+		t.Errorf("with 9 of 10 after the target: got action %v, want Answer", got.Action)
+	}
+}
+
+func TestAnswersAtOnceWhenWhole(t *testing.T) {
+	g := begin(search())
+	replied(g, 10)
+	if got := g.Next(at(20)); got.Action != Answer {
+		t.Errorf("got action %v, want Answer", got.Action)
+	}
+}
+
+func TestHedge(t *testing.T) {
+	g := begin(search())
+	replied(g, 9)
+	if got := g.Next(at(59)); len(got.Ask) != 0 || !got.Until.Equal(at(60)) {
+		t.Errorf("before the delay: got %+v, want no hedge until 60 ms", got)
+	}
+	if got := g.Next(at(60)); !slices.Equal(got.Ask, []Ask{{Shard: 9, Hedge: true}}) {
+		t.Errorf("after the delay: got %+v, want a hedge of shard 9", got.Ask)
+	}
+	g.Denied(9, at(60))
+	if got := g.Next(at(69)); len(got.Ask) != 0 {
+		t.Errorf("after the denial: got %+v, want none", got.Ask)
+	}
+	if got := g.Next(at(70)); len(got.Ask) != 1 {
+		t.Errorf("after the pause: got %+v, want one", got.Ask)
+	}
+	g.Sent(9, at(70))
+	if got := g.Next(at(140)); len(got.Ask) != 0 {
+		t.Errorf("with all attempts made: got %+v, want none", got.Ask)
+	}
+	// The first failure leaves the other attempt open.
+	g.Failed(9, carobbend.FailureBroken)
+	if got := g.Next(at(140)); got.Action != Wait || len(got.Ask) != 0 {
+		t.Errorf("with one attempt open: got %+v, want Wait", got)
+	}
+}
+
+// TestEndsAtOnceWhenLost guards against holding callers of an answer that can't be had any more.
+func TestEndsAtOnceWhenLost(t *testing.T) {
+	g := begin(search())
+	for _, shard := range []int{3, 4} {
+		g.Failed(shard, carobbend.FailureBroken)
+		step := g.Next(at(5))
+		if !slices.Equal(step.Ask, []Ask{{Shard: shard}}) {
+			t.Fatalf("after a failure: got %+v, want a retry of shard %d", step.Ask, shard)
+		}
+		g.Denied(shard, at(5))
+	}
+	if got := g.Next(at(6)); got.Action != Fail || got.Reason != ReasonShards {
+		t.Errorf("with two shards lost: got %+v, want Fail", got)
+	}
+}
+
+// TestRunsOnce guards against a second run of a request that may run once.
+func TestRunsOnce(t *testing.T) {
+	for _, c := range []struct {
+		kind  carobbend.FailureKind
+		again bool
+	}{
+		{carobbend.FailureNotSent, true},
+		{carobbend.FailureShed, true},
+		{carobbend.FailureLeaving, true},
+		{carobbend.FailureBroken, false},
+		{carobbend.FailureIdentity, false},
+		{carobbend.FailureDeadline, false},
+		{carobbend.FailureCanceled, false},
+	} {
+		g := begin(Plan{Shards: 1, MinCoverage: 1, Attempts: 2, HedgeDelay: time.Millisecond, Deadline: at(6000)})
+		if got := g.Next(at(100)); len(got.Ask) != 0 {
+			t.Errorf("%s: got a hedge %+v, want none", c.kind, got.Ask)
+		}
+		g.Failed(0, c.kind)
+		step := g.Next(at(100))
+		if got := len(step.Ask) == 1; got != c.again {
+			t.Errorf("%s: got another attempt %v, want %v", c.kind, got, c.again)
+		}
+		if !c.again && step.Action != Fail {
+			t.Errorf("%s: got action %v, want Fail", c.kind, step.Action)
+		}
+	}
+}
+
+// TestAttemptBound guards against more runs than the route allows, whatever fails in whatever order.
+func TestAttemptBound(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	kinds := []carobbend.FailureKind{carobbend.FailureBroken, carobbend.FailureShed, carobbend.FailureNotSent}
+	for range 2000 {
+		p := search()
+		p.Shards, p.Attempts = 3, 1+rng.IntN(3)
+		g := begin(p)
+		open, runs, now := []int{0, 1, 2}, []int{1, 1, 1}, start
+		for range 40 {
+			now = now.Add(time.Duration(rng.IntN(30)) * time.Millisecond)
+			step := g.Next(now)
+			if step.Action != Wait {
+				break
+			}
+			for _, a := range step.Ask {
+				if rng.IntN(4) == 0 {
+					g.Denied(a.Shard, now)
+					continue
+				}
+				g.Sent(a.Shard, now)
+				open = append(open, a.Shard)
+				if runs[a.Shard]++; runs[a.Shard] > p.Attempts {
+					t.Fatalf("shard %d: got %d runs, want at most %d", a.Shard, runs[a.Shard], p.Attempts)
+				}
+			}
+			if len(open) == 0 {
+				continue
+			}
+			i := rng.IntN(len(open))
+			shard := open[i]
+			open = slices.Delete(open, i, i+1)
+			kind := kinds[rng.IntN(len(kinds))]
+			if kind != carobbend.FailureBroken {
+				runs[shard]--
+			}
+			g.Failed(shard, kind)
+		}
+	}
+}
+
+func TestMerge(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for n := range 30 {
+		var parts [][]byte
+		var all [][]byte
+		for range rng.IntN(6) {
+			p := make([]byte, rng.IntN(200))
+			for i := range p {
+				p[i] = byte(rng.IntN(3))
+			}
+			parts = append(parts, p)
+			for q := p; len(q) >= RecordSize; q = q[RecordSize:] {
+				all = append(all, q[:RecordSize])
+			}
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(n, len(all))], nil)
+		if got := Merge(n, parts...); !bytes.Equal(got, want) {
+			t.Errorf("Merge(%d) of %d parts: got %d bytes, want %d", n, len(parts), len(got), len(want))
+		}
+	}
+}
+
+func BenchmarkMerge(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	parts := make([][]byte, 36)
+	for i := range parts {
+		parts[i] = make([]byte, 1000)
+		for j := range parts[i] {
+			parts[i][j] = byte(rng.IntN(256))
+		}
+	}
+	for b.Loop() {
+		Merge(50, parts...)
+	}
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,136 @@
+// Package router finds the route of a request.
+//
+// A Table is built once from a version of the routing and not modified afterwards, so a request that keeps the table it
+// began with sees one version throughout. A Router holds the table in force and only moves to higher versions.
+//
+// # Usage
+//
+//	var r router.Router
+//	r.Apply(routing)
+//	t := r.Table()
+//	route, ok := t.Find("shop.example", "/search/stools")
+//	if ok && len(route.Shards) == 0 {
+//		service := route.Choose()
+//	}
+package router
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"carobbend.example/carobbend"
+)
+
+// Router holds the table in force. The zero value has none.
+type Router struct {
+	mu    sync.Mutex
+	table atomic.Pointer[Table]
+}
+
+// Apply puts a routing in force and returns true, or false where it isn't newer than the one in force.
+func (r *Router) Apply(routing *carobbend.Routing) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.table.Load()
+	if old != nil && routing.Version <= old.version {
+		return false
+	}
+	r.table.Store(newTable(routing, old))
+	return true
+}
+
+// Table returns the table in force, nil before the first one.
+func (r *Router) Table() *Table { return r.table.Load() }
+
+// Table is one version of the routes.
+type Table struct {
+	version  uint64
+	hosts    map[string]*host
+	services map[string]carobbend.Service
+	limits   carobbend.CallerLimits
+}
+
+// host holds the routes of one host by prefix.
+type host struct {
+	byPrefix map[string]*Route
+	// longest is the length of the longest prefix in bytes.
+	longest int
+}
+
+// Version returns the version of the routing.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits returns what a caller may send.
+func (t *Table) Limits() carobbend.CallerLimits { return t.limits }
+
+// Service returns a service that the routing names.
+func (t *Table) Service(name string) (carobbend.Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, h := range t.hosts {
+		n += len(h.byPrefix)
+	}
+	return n
+}
+
+// Find returns the route with the longest prefix that begins the path, which is taken as sent, without a query.
+// Prefixes end at slashes, so the cost grows with the slashes of the path and not with the number of routes.
+func (t *Table) Find(hostname, path string) (*Route, bool) {
+	h := t.hosts[canonicalHost(hostname)]
+	if h == nil {
+		return nil, false
+	}
+	p := path[:min(len(path), h.longest)]
+	for {
+		i := strings.LastIndexByte(p, '/')
+		if i < 0 {
+			return nil, false
+		}
+		if r := h.byPrefix[p[:i+1]]; r != nil {
+			return r, true
+		}
+		p = p[:i]
+	}
+}
+
+func newTable(routing *carobbend.Routing, old *Table) *Table {
+	t := &Table{
+		version:  routing.Version,
+		hosts:    make(map[string]*host),
+		services: make(map[string]carobbend.Service, len(routing.Services)),
+		limits:   routing.Limits,
+	}
+	for _, s := range routing.Services {
+		t.services[s.Name] = s
+	}
+	for i := range routing.Routes {
+		r := &Route{Route: routing.Routes[i]}
+		name := canonicalHost(r.Host)
+		h := t.hosts[name]
+		if h == nil {
+			h = &host{byPrefix: make(map[string]*Route)}
+			t.hosts[name] = h
+		}
+		r.inherit(old)
+		h.byPrefix[r.Prefix] = r
+		h.longest = max(h.longest, len(r.Prefix))
+	}
+	return t
+}
+
+// canonicalHost drops port and trailing dot and lowers the case.
+func canonicalHost(s string) string {
+	if strings.IndexByte(s, ':') >= 0 {
+		if h, _, err := net.SplitHostPort(s); err == nil {
+			s = h
+		}
+	}
+	return strings.ToLower(strings.TrimSuffix(s, "."))
+}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,104 @@
+package router
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"carobbend.example/carobbend"
+)
+
+func single(host, prefix, service string) carobbend.Route {
+	return carobbend.Route{
+		Name: service, Host: host, Prefix: prefix,
+		Split: []carobbend.WeightedService{{Service: service, Weight: 1}},
+	}
+}
+
+func TestFind(t *testing.T) {
+	var r Router
+	r.Apply(&carobbend.Routing{Version: 1, Routes: []carobbend.Route{
+		single("a.example", "/", "root"),
+		single("a.example", "/x/", "x"),
+		single("a.example", "/x/y/", "xy"),
+		single("B.example", "/x/", "bx"),
+	}})
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/", "root"},
+		{"a.example", "/x", "root"},
+		{"a.example", "/x/", "x"},
+		{"a.example", "/x/1", "x"},
+		{"a.example", "/x/y", "x"},
+		{"a.example", "/x/y/", "xy"},
+		{"a.example", "/x/y/z/1", "xy"},
+		{"A.example:80", "/x/y/z", "xy"},
+		{"a.example.", "/xy/z", "root"},
+		{"b.example", "/x/1", "bx"},
+		{"b.example", "/y/1", ""},
+		{"c.example", "/", ""},
+		// Encoded slashes are part of a segment; decoding them would change the route.
+		{"a.example", "/x%2fy/", "root"},
+		{"a.example", "*", ""},
+	} {
+		got := ""
+		if route, ok := r.Table().Find(c.host, c.path); ok {
+			got = route.Name
+		}
+		if got != c.want {
+			t.Errorf("Find(%q, %q): got %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// TestVersionsOnlyRise guards against a stale read of the store that brings an old routing back.
+func TestVersionsOnlyRise(t *testing.T) {
+	var r Router
+	for _, c := range []struct {
+		version uint64
+		want    bool
+	}{{5, true}, {5, false}, {3, false}, {9, true}, {8, false}} {
+		if got := r.Apply(&carobbend.Routing{Version: c.version}); got != c.want {
+			t.Errorf("Apply(version %d): got %v, want %v", c.version, got, c.want)
+		}
+	}
+	if got := r.Table().Version(); got != 9 {
+		t.Errorf("version in force: got %d, want 9", got)
+	}
+}
+
+// TestSplit guards against shares that drift from the weights, also when an unrelated change replaces the table.
+func TestSplit(t *testing.T) {
+	split := []carobbend.WeightedService{{Service: "a", Weight: 7}, {Service: "b", Weight: 2}, {Service: "c", Weight: 1}}
+	var r Router
+	got := map[string]int{}
+	const n = 1000
+	for i := range n {
+		if i%3 == 0 {
+			r.Apply(&carobbend.Routing{Version: uint64(i + 1), Routes: []carobbend.Route{{Host: "h", Prefix: "/", Split: split}}})
+		}
+		route, _ := r.Table().Find("h", "/p")
+		got[route.Choose()]++
+	}
+	for _, s := range split {
+		if share := float64(got[s.Service]) / n; math.Abs(share-s.Weight/10) > 0.005 {
+			t.Errorf("share of %s: got %.3f, want %.3f", s.Service, share, s.Weight/10)
+		}
+	}
+}
+
+func BenchmarkFind(b *testing.B) {
+	for _, n := range []int{10, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var routes []carobbend.Route
+			for i := range n {
+				routes = append(routes, single("a.example", fmt.Sprintf("/p%d/q/", i), "s"))
+			}
+			var r Router
+			r.Apply(&carobbend.Routing{Version: 1, Routes: routes})
+			t := r.Table()
+			for b.Loop() {
+				t.Find("a.example", "/p7/q/1")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing.go
@@ -0,0 +1,79 @@
+package carobbend
+
+import "time"
+
+// Routing is one version of what operators want done with requests. It is not modified after it was handed out.
+type Routing struct {
+	// Version orders routings; an instance never returns to a lower one.
+	Version uint64
+	// Routes are in no order.
+	Routes []Route
+	// Services are named by the routes.
+	Services []Service
+	// Limits bound what a caller may send.
+	Limits CallerLimits
+}
+
+// Route says what becomes of the requests to one host and path prefix.
+type Route struct {
+	// Name is used in logs.
+	Name string
+	// Host is compared without case and port.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Repeatable says that a request may run more than once.
+	Repeatable bool
+	// Attempts is the greatest number of upstreams that may run one request, for each shard.
+	Attempts int
+	// Timeout is the time after which a caller has its final answer; 0 means no bound.
+	Timeout time.Duration
+	// Target is the latency within which an answer is of full use; 0 means none.
+	Target time.Duration
+	// Priority is the rank of the route's requests, 0 first.
+	Priority int
+	// Split holds the services that share the requests of a route without shards.
+	Split []WeightedService
+	// Shards holds one service for each shard; requests are asked of all of them.
+	Shards []string
+	// Records is the number of records in the answer over all shards.
+	Records int
+	// MinCoverage is the least share of shards of an answer, from 0 to 1.
+	MinCoverage float64
+}
+
+// WeightedService is one service of a split.
+type WeightedService struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a set of upstreams that answer alike.
+type Service struct {
+	Name string
+	// MaxConns is the number of connections that each upstream accepts from all instances together.
+	MaxConns int
+}
+
+// CallerLimits bound what a caller may send; 0 means no bound.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// UpstreamRecord is what an upstream announces of itself.
+type UpstreamRecord struct {
+	ID         UpstreamID
+	Service    string
+	Address    string
+	DataCentre DataCentre
+	// Leaving says that the upstream takes no new work.
+	Leaving bool
+	// Slots is the number of requests that it runs at a time.
+	Slots int
+	// Born is the start of the process in Unix milliseconds, 0 where unknown. Another value under the same id is a
+	// new process that knows nothing of the old one's requests.
+	Born int64
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -56,9 +56,9 @@
 
 // Load reads and checks a settings file.
 func Load(file string) (*Settings, error) {
-	b, err := os.ReadFile(file)
+	b, err := read(file)
 	if err != nil {
-		return nil, &Error{Op: "load", Kind: KindRead, File: file, Err: errorx.Decorate(err, "cannot read settings")}
+		return nil, err
 	}
 	return Parse(file, b)
 }
@@ -66,18 +66,40 @@
 // Parse checks settings; file is used in errors only.
 func Parse(file string, b []byte) (*Settings, error) {
 	s := &Settings{}
+	if err := parse(file, b, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func read(file string) ([]byte, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &Error{Op: "load", Kind: KindRead, File: file, Err: errorx.Decorate(err, "cannot read settings")}
+	}
+	return b, nil
+}
+
+// checkable is a kind of settings.
+type checkable interface {
+	ApplyDefaults()
+	check() error
+}
+
+// parse decodes b into s, fills defaults and checks the whole.
+func parse(file string, b []byte, s checkable) error {
 	if err := yaml.UnmarshalWithOptions(b, s, yaml.Strict()); err != nil {
-		return nil, syntaxError(file, err)
+		return syntaxError(file, err)
 	}
 	s.ApplyDefaults()
 	if err := s.check(); err != nil {
 		var invalid validator.ValidationErrors
 		if errors.As(err, &invalid) && len(invalid) > 0 {
-			return nil, invalidError(file, b, invalid[0])
+			return invalidError(file, b, invalid[0])
 		}
-		return nil, &Error{Op: "parse", Kind: KindInvalid, File: file, Err: err}
+		return &Error{Op: "parse", Kind: KindInvalid, File: file, Err: err}
 	}
-	return s, nil
+	return nil
 }
 
 func syntaxError(file string, err error) error {
@@ -91,6 +113,14 @@
 }
 
 func (s *Settings) check() error {
+	if err := validate(s); err != nil {
+		return err
+	}
+	return s.checkUpstreamIDs()
+}
+
+// validate checks the fields of s by their tags.
+func validate(s any) error {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string {
 		return strings.Split(f.Tag.Get("yaml"), ",")[0]
@@ -98,10 +128,7 @@
 	if err := v.RegisterValidation("ip_port", isIPPort); err != nil {
 		return err
 	}
-	if err := v.Struct(s); err != nil {
-		return err
-	}
-	return s.checkUpstreamIDs()
+	return v.Struct(s)
 }
 
 // isIPPort accepts IP numbers alone, since name services are no part of the platform.
@@ -135,7 +162,7 @@
 }
 
 func invalidError(file string, b []byte, fe validator.FieldError) error {
-	key := strings.TrimPrefix(fe.Namespace(), "Settings.")
+	_, key, _ := strings.Cut(fe.Namespace(), ".")
 	e := &Error{Op: "check", Kind: KindInvalid, File: file, Key: key, Line: lineOf(b, key)}
 	e.Err = fmt.Errorf("got %q, expected %s", fmt.Sprint(fe.Value()), expected(fe))
 	return e
--- /dev/null
+++ b/steerer/steerer.go
@@ -0,0 +1,82 @@
+// Package steerer chooses the instances that a caller is told to use.
+//
+// Each instance answers from its own view of the list of instances; it names itself although its entry may have lapsed,
+// since it evidently serves, unless it is leaving.
+//
+// # Usage
+//
+//	var s steerer.Steerer
+//	s.Update(instances)
+//	a, ok := s.Addresses("leon")
+package steerer
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+const (
+	// maxAddresses is the greatest number of addresses of an answer.
+	maxAddresses = 64
+	// validity is how long a caller may keep an answer. Some keep it three times as long, which a drain waits for.
+	validity = time.Second
+)
+
+// Steerer answers callers. The zero value knows no instance.
+type Steerer struct {
+	mu        sync.Mutex
+	self      carobbend.Instance
+	ready     bool
+	instances []carobbend.Instance
+}
+
+// SetSelf sets this instance and whether it may be named.
+func (s *Steerer) SetSelf(self carobbend.Instance, ready bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.self, s.ready = self, ready
+}
+
+// Update replaces the list of instances.
+func (s *Steerer) Update(instances map[string]carobbend.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = s.instances[:0]
+	for _, x := range instances {
+		if !x.Leaving {
+			s.instances = append(s.instances, x)
+		}
+	}
+	slices.SortFunc(s.instances, func(a, b carobbend.Instance) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Live returns the number of instances, this one included.
+func (s *Steerer) Live() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.instances)
+	if !slices.ContainsFunc(s.instances, func(x carobbend.Instance) bool { return x.Name == s.self.Name }) {
+		n++
+	}
+	return n
+}
+
+// Addresses returns where a caller in a data centre should connect, or false where no instance is known to serve.
+func (s *Steerer) Addresses(_ carobbend.DataCentre) (carobbend.Addresses, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := carobbend.Addresses{ValidFor: validity}
+	if s.ready {
+		a.Addresses = append(a.Addresses, s.self.CallerAddress)
+	}
+	for _, x := range s.instances {
+		if x.Name != s.self.Name && len(a.Addresses) < maxAddresses {
+			a.Addresses = append(a.Addresses, x.CallerAddress)
+		}
+	}
+	return a, len(a.Addresses) > 0
+}
--- a/store.go
+++ b/store.go
@@ -35,6 +35,10 @@
 	StoreLimited StoreFailure = "limited"
 	// StoreUnknown says that the call may have taken effect.
 	StoreUnknown StoreFailure = "unknown"
+	// StoreCompacted says that the changes that were asked for are no longer known.
+	StoreCompacted StoreFailure = "compacted"
+	// StoreNotFound says that what the call named doesn't exist.
+	StoreNotFound StoreFailure = "not-found"
 )
 
 // StoreError is the error of the methods of Store.
