Make latencies of different routes comparable in the balancer

Cause: an upstream's smoothed latency mixed requests of 7 and 20 ms, so that the mix of the last requests looked like a difference between upstreams.

Change: Begin takes the usual latency of the route's attempts, End scales by it; Expected predicts a latency for a route, for later decisions.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -28,6 +28,9 @@
 // LeavingBound is the time after which a leaving upstream must receive no new work.
 const LeavingBound = 3 * time.Second
 
+// referenceLatency is the latency to which those of requests with a usual latency are scaled.
+const referenceLatency = 20 * time.Millisecond
+
 // Limits is a concurrency limit per upstream that a Balancer consults and informs.
 type Limits interface {
 	// Allow reports whether another request to id is within the limit.
@@ -138,12 +141,27 @@
 }
 
 // Sent records that a request to id was started.
-func (b *Balancer) Sent(now time.Time, id carobbend.UpstreamID) {
+func (b *Balancer) Sent(now time.Time, id carobbend.UpstreamID) { b.Begin(now, id, 0) }
+
+// Request is a request in flight.
+type Request struct {
+	id      carobbend.UpstreamID
+	started time.Time
+	scale   float64
+}
+
+// Begin records that a request to id was started. usual is the usual latency of its kind of request, by which the
+// latencies of different kinds are made comparable; 0 takes them as they are.
+func (b *Balancer) Begin(now time.Time, id carobbend.UpstreamID, usual time.Duration) Request {
+	r := Request{id: id, started: now, scale: 1}
+	if usual > 0 {
+		r.scale = float64(referenceLatency) / float64(usual)
+	}
 	b.mu.Lock()
 	n := b.node(now, id)
 	n.inFlight++
 	if b.overdue {
-		n.open = append(n.open, now)
+		n.open = append(n.open, openRequest{now, r.scale})
 	}
 	late := n.leaving && now.Sub(n.leavingSince) > LeavingBound
 	since := n.leavingSince
@@ -152,20 +170,28 @@
 	if b.limits != nil {
 		b.limits.Sent(now, id)
 	}
+	return r
 }
 
 // Finished records the end of a request; latency counts from Sent, and load is negative where none was reported.
 func (b *Balancer) Finished(
 	now time.Time, id carobbend.UpstreamID, latency time.Duration, kind carobbend.FailureKind, load float64,
 ) {
+	b.End(now, Request{id: id, started: now.Add(-latency), scale: 1}, kind, load)
+}
+
+// End records the end of a request; load is negative where none was reported.
+func (b *Balancer) End(now time.Time, r Request, kind carobbend.FailureKind, load float64) {
+	latency := now.Sub(r.started)
 	if b.limits != nil {
-		b.limits.Finished(now, id, latency, kind)
+		b.limits.Finished(now, r.id, latency, kind)
 	}
+	latency = time.Duration(float64(latency) * r.scale)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := b.node(now, id)
+	n := b.node(now, r.id)
 	n.inFlight = max(n.inFlight-1, 0)
-	n.closed(now.Add(-latency))
+	n.closed(r.started)
 	if load >= 0 {
 		n.load, n.loadAt = load, now
 	}
@@ -283,6 +309,23 @@
 	return chosen.id
 }
 
+// Expected returns the latency that a request would have at the fastest candidate that isn't leaving, for a kind of
+// request whose usual latency is given; it is usual where nothing is known.
+func (b *Balancer) Expected(now time.Time, candidates []carobbend.UpstreamID, usual time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lowest := math.Inf(1)
+	for _, id := range candidates {
+		if n := b.node(now, id); !n.leaving && !now.Before(n.ejectedUntil) {
+			lowest = min(lowest, n.expected(now, float64(referenceLatency), b.forget))
+		}
+	}
+	if math.IsInf(lowest, 1) {
+		return usual
+	}
+	return time.Duration(lowest / float64(referenceLatency) * float64(usual))
+}
+
 // score is the expected cost of one more request to n.
 func (b *Balancer) score(now time.Time, n *node, unknown float64) float64 {
 	s := n.score(now, unknown, b.forget, !b.noHint)
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -45,12 +45,18 @@
 	maxHint = 1.5
 )
 
+// openRequest is a request in flight; scale turns its age into that of a usual request.
+type openRequest struct {
+	started time.Time
+	scale   float64
+}
+
 // node is what is known of one upstream.
 type node struct {
 	id       carobbend.UpstreamID
 	inFlight int
-	// open holds the start times of the requests in flight, oldest first.
-	open []time.Time
+	// open holds the requests in flight, oldest first.
+	open []openRequest
 	// latency is the smoothed latency in nanoseconds; 0 where none was observed.
 	latency float64
 	// baseline is the latency without load: it falls with the smoothed latency at once and rises slowly.
@@ -74,14 +80,18 @@
 
 // score is the expected cost of one more request; unknown stands in for a latency that was never observed.
 func (n *node) score(now time.Time, unknown float64, forget time.Duration, hint bool) float64 {
-	expected := max(n.estimate(now, unknown, forget), n.overdue(now))
-	s := float64(n.inFlight+1) * (expected + n.penaltyNow(now))
+	s := float64(n.inFlight+1) * (n.expected(now, unknown, forget) + n.penaltyNow(now))
 	if hint {
 		s *= 1 + n.hint(now)
 	}
 	return s
 }
 
+// expected is the latency that a request has now.
+func (n *node) expected(now time.Time, unknown float64, forget time.Duration) float64 {
+	return max(n.estimate(now, unknown, forget), n.overdue(now))
+}
+
 func (n *node) estimate(now time.Time, unknown float64, forget time.Duration) float64 {
 	if n.samples == 0 {
 		return unknown
@@ -92,13 +102,13 @@
 	return n.baseline + (n.latency-n.baseline)*math.Exp(-float64(now.Sub(n.observedAt))/float64(forget))
 }
 
-// overdue is what the oldest request in flight says about the latency: it has lasted that long and isn't near its end.
+// overdue is what the requests in flight say about the latency: the one that has lasted longest isn't near its end.
 // Ages that are usual say nothing.
 func (n *node) overdue(now time.Time) float64 {
-	if len(n.open) == 0 {
-		return 0
+	age := 0.0
+	for _, o := range n.open {
+		age = max(age, float64(now.Sub(o.started))*o.scale)
 	}
-	age := float64(now.Sub(n.open[0]))
 	if n.samples > 0 && age < overdueFactor*n.baseline {
 		return 0
 	}
@@ -112,7 +122,7 @@
 	}
 	best := 0
 	for i := range n.open {
-		if n.open[i].Sub(started).Abs() < n.open[best].Sub(started).Abs() {
+		if n.open[i].started.Sub(started).Abs() < n.open[best].started.Sub(started).Abs() {
 			best = i
 		}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/exchanger"
 	"carobbend.example/carobbend/hedger"
 	"carobbend.example/carobbend/logger"
@@ -100,7 +101,7 @@
 	Headers   Headers
 	Router    *router.Router
 	Fleet     *Fleet
-	Balancer  carobbend.Balancer
+	Balancer  *balancer.Balancer
 	Exchanger *exchanger.Exchanger
 	Budget    *hedger.Budget
 	// Recorder may be nil.
@@ -120,6 +121,7 @@
 	draining  atomic.Bool
 	refusing  atomic.Bool
 	inFlight  atomic.Int64
+	latencies latencies
 }
 
 // New returns a forwarder.
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/exchanger"
 	"carobbend.example/carobbend/gatherer"
 	"carobbend.example/carobbend/router"
@@ -35,6 +36,8 @@
 	services []string
 	deadline time.Time
 	request  exchanger.Request
+	// usual is the usual latency of an attempt.
+	usual time.Duration
 
 	gather  *gatherer.Gather
 	results chan result
@@ -91,6 +94,7 @@
 func (q *query) serve(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(callerContext(r))
 	defer cancel()
+	q.usual = q.f.latencies.of(q.route)
 	p := q.plan()
 	q.gather = gatherer.New(p)
 	// Attempts never block on the channel, also after the query has ended.
@@ -187,20 +191,21 @@
 		q.retries++
 	case AttemptPrimary:
 	}
-	f.Balancer.Sent(now, id)
+	sent := f.Balancer.Begin(now, id, q.usual)
 	q.gather.Sent(shard, now)
 	q.asked[shard] = append(q.asked[shard], id)
 	a := f.Exchanger.Attempt(ctx)
 	q.open[a] = struct{}{}
 	go func() {
 		reply, err := a.Do(t, &q.request)
-		q.results <- q.judge(now, shard, a, t, kind, reply, err)
+		q.results <- q.judge(now, sent, shard, a, kind, reply, err)
 	}()
 }
 
 // judge tells the balancer how an attempt ended. It runs on the attempt's goroutine and may outlive the query.
 func (q *query) judge(
-	sent time.Time, shard int, a *exchanger.Attempt, t exchanger.Target, attempt AttemptKind, reply *exchanger.Reply, err error,
+	began time.Time, sent balancer.Request, shard int, a *exchanger.Attempt, attempt AttemptKind,
+	reply *exchanger.Reply, err error,
 ) result {
 	kind := exchanger.KindOf(err)
 	load := -1.0
@@ -211,7 +216,10 @@
 		}
 	}
 	now := time.Now()
-	q.f.Balancer.Finished(now, t.ID, now.Sub(sent), kind, load)
+	q.f.Balancer.End(now, sent, kind, load)
+	if kind == carobbend.FailureNone {
+		q.f.latencies.observe(q.route, now.Sub(began))
+	}
 	if q.f.Recorder != nil {
 		q.f.Recorder.Attempted(attempt, kind)
 	}
