Refuse queries whose shards can't reply in time, before anything is sent

Ruled out: slow replicas (ejected within a second), processor (0.04 cores).

Change: the balancer tells the outlook of a shard: expected latency and whether a replica has reported no long queue. Shards that are full or late are left out as far as the least coverage allows; where more are, the caller is told at once to come back. An idle upstream's estimate returns to at most twice the usual latency, so that one that was only seen dark is asked again.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -131,6 +131,9 @@
 		}
 	}
 	eligible = prefer(eligible, func(n *node) bool { return !now.Before(n.shedUntil) })
+	if b.overdue {
+		eligible = prefer(eligible, func(n *node) bool { return n.backlog(now) < fullBacklog })
+	}
 	if b.limits != nil {
 		eligible = prefer(eligible, func(n *node) bool { return b.limits.Allow(now, n.id) })
 	}
@@ -309,21 +312,40 @@
 	return chosen.id
 }
 
-// Expected returns the latency that a request would have at the fastest candidate that isn't leaving, for a kind of
-// request whose usual latency is given; it is usual where nothing is known.
-func (b *Balancer) Expected(now time.Time, candidates []carobbend.UpstreamID, usual time.Duration) time.Duration {
+// Outlook is what a new request may expect of a set of candidates.
+type Outlook struct {
+	// Latency is the expected latency at the fastest candidate.
+	Latency time.Duration
+	// Room says that a candidate has reported no long queue.
+	Room bool
+}
+
+// Outlook returns what a request may expect, for a kind of request whose usual latency is given. Ejected candidates count
+// where there is no other one.
+func (b *Balancer) Outlook(now time.Time, candidates []carobbend.UpstreamID, usual time.Duration) Outlook {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	lowest := math.Inf(1)
-	for _, id := range candidates {
-		if n := b.node(now, id); !n.leaving && !now.Before(n.ejectedUntil) {
+	lowest, room := math.Inf(1), false
+	for _, ejected := range []bool{false, true} {
+		for _, id := range candidates {
+			n := b.node(now, id)
+			if n.leaving || now.Before(n.ejectedUntil) != ejected {
+				continue
+			}
+			if n.backlog(now) >= fullBacklog {
+				continue
+			}
+			room = true
 			lowest = min(lowest, n.expected(now, float64(referenceLatency), b.forget))
 		}
+		if room {
+			break
+		}
 	}
-	if math.IsInf(lowest, 1) {
-		return usual
+	if !room {
+		return Outlook{}
 	}
-	return time.Duration(lowest / float64(referenceLatency) * float64(usual))
+	return Outlook{Latency: time.Duration(lowest / float64(referenceLatency) * float64(usual)), Room: true}
 }
 
 // score is the expected cost of one more request to n.
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -25,6 +25,8 @@
 	maxPenalty = time.Second
 	// cutFactor scales the age of a request that was cut: it has lasted at least that long and wasn't near its end.
 	cutFactor = 2
+	// restFactor bounds the latency, in reference latencies, that is expected of an upstream which was not asked for long.
+	restFactor = 2
 	// overdueFactor scales the baseline to the age at which a request in flight counts as overdue.
 	overdueFactor = 2
 	// shedPause is the time for which an upstream that shed a request is passed over. 20 ms sent all requests to the
@@ -45,6 +47,14 @@
 	maxHint = 1.5
 )
 
+const (
+	// fullBacklog is the number of requests running and waiting per slot from which a new one would wait for longer than
+	// it runs.
+	fullBacklog = 2
+	// backlogWindow is the age at which a reported load says nothing about the queue any more.
+	backlogWindow = 200 * time.Millisecond
+)
+
 // openRequest is a request in flight; scale turns its age into that of a usual request.
 type openRequest struct {
 	started time.Time
@@ -96,10 +106,24 @@
 	if n.samples == 0 {
 		return unknown
 	}
-	if forget == 0 || n.latency <= n.baseline {
+	if forget == 0 {
+		return n.latency
+	}
+	// A baseline that was learned in bad times alone says nothing about better ones.
+	rest := min(n.baseline, restFactor*float64(referenceLatency))
+	if n.latency <= rest {
 		return n.latency
 	}
-	return n.baseline + (n.latency-n.baseline)*math.Exp(-float64(now.Sub(n.observedAt))/float64(forget))
+	return rest + (n.latency-rest)*math.Exp(-float64(now.Sub(n.observedAt))/float64(forget))
+}
+
+// backlog is the reported number of requests per slot, which fades as it ages.
+func (n *node) backlog(now time.Time) float64 {
+	age := now.Sub(n.loadAt)
+	if n.loadAt.IsZero() || age < 0 || age >= backlogWindow {
+		return 0
+	}
+	return n.load * (1 - float64(age)/float64(backlogWindow))
 }
 
 // overdue is what the requests in flight say about the latency: the one that has lasted longest isn't near its end.
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -33,7 +33,7 @@
 
 func (l requestLog) request(q *query) {
 	limit := l.trouble
-	if q.outcome == OutcomeWhole && q.hedges+q.retries == 0 {
+	if q.outcome == OutcomeWhole && q.hedges+q.retries+q.skips == 0 {
 		limit = l.plain
 	}
 	if !limit.Allow() {
@@ -49,7 +49,7 @@
 	}
 	if q.gather != nil {
 		kv = append(kv, "covered", q.gather.Covered(), "needed", q.gather.Need(), "shards", len(q.services),
-			"hedges", q.hedges, "retries", q.retries, "left-ms", time.Until(q.deadline).Milliseconds())
+			"hedges", q.hedges, "retries", q.retries, "skips", q.skips, "left-ms", time.Until(q.deadline).Milliseconds())
 	}
 	if q.lastKind != "" {
 		kv = append(kv, "last-failure", q.lastKind)
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -45,13 +46,15 @@
 	// asked holds the upstreams of each shard that were asked.
 	asked [][]carobbend.UpstreamID
 	parts []*exchanger.Reply
+	// skipped marks the shards that weren't asked.
+	skipped []bool
 	// failure is the last failure that an upstream stated itself.
 	failure *exchanger.Reply
 
-	hedges, retries int
-	lastKind        carobbend.FailureKind
-	outcome         Outcome
-	reason          string
+	hedges, retries, skips int
+	lastKind               carobbend.FailureKind
+	outcome                Outcome
+	reason                 string
 }
 
 // result is the end of an attempt.
@@ -104,8 +107,14 @@
 	q.parts = make([]*exchanger.Reply, p.Shards)
 	defer q.cancelOpen()
 	now := time.Now()
+	if refused := q.admit(now, p); refused != nil {
+		q.end(w, refused)
+		return
+	}
 	for i := range q.services {
-		q.attempt(ctx, now, i, AttemptPrimary)
+		if !q.skipped[i] {
+			q.attempt(ctx, now, i, AttemptPrimary)
+		}
 	}
 	switch step := q.run(ctx); {
 	case ctx.Err() != nil:
@@ -117,6 +126,55 @@
 	}
 }
 
+// admit leaves out shards that are full or expected to reply after the answer, and refuses the query where too few
+// remain: asking the full ones would only add to the queues that make every query late.
+func (q *query) admit(now time.Time, p gatherer.Plan) *refusal {
+	q.skipped = make([]bool, p.Shards)
+	if p.AnswerBy.IsZero() {
+		return nil
+	}
+	left := p.AnswerBy.Sub(now)
+	expected := make([]time.Duration, p.Shards)
+	full := 0
+	for i, service := range q.services {
+		o := q.f.Balancer.Outlook(now, q.f.fleet.Candidates(service), q.usual)
+		expected[i] = o.Latency
+		if !o.Room {
+			expected[i] = fullLatency
+		}
+		if expected[i] > left {
+			full++
+		}
+	}
+	late := q.gather.Late(expected, left)
+	if full > len(late) && q.mayReturn(now) {
+		after := returnMin + rand.N(returnSpread)
+		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "too few shards can reply in time", after}
+	}
+	for _, i := range late {
+		q.gather.Skip(i)
+		q.skipped[i] = true
+		q.skips++
+	}
+	return nil
+}
+
+// mayReturn reports whether the caller has the time to come back with a fair chance.
+func (q *query) mayReturn(now time.Time) bool {
+	return q.deadline.Sub(now) > returnFactor*(returnMin+returnSpread)
+}
+
+const (
+	// fullLatency stands for the latency of a shard whose upstreams all have long queues.
+	fullLatency = time.Hour
+	// returnMin and returnSpread bound the time after which refused callers come back, spread so that they don't meet
+	// again.
+	returnMin    = 100 * time.Millisecond
+	returnSpread = 300 * time.Millisecond
+	// returnFactor is the least time left, in return times, of a caller that is asked to come back.
+	returnFactor = 1
+)
+
 // maxSpare is the number of results of a shard beyond its attempts that may end as not run.
 const maxSpare = 3
 
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// Skip leaves a shard out of which nothing was sent.
+func (g *Gather) Skip(i int) { g.lose(&g.shards[i]) }
+
 // Denied records that an attempt couldn't be started. A hedge is tried again later; without another attempt open the
 // shard is lost.
 func (g *Gather) Denied(i int, now time.Time) {
