Hedge at the 95th percentile of a route's attempts where that comes first

Cause: a hedge of a frost check left after 20 ms of its 50, while nearly all attempts end within 12; what it rescued was late all the same.

--- a/cmd/carobbend/forward.go
+++ b/cmd/carobbend/forward.go
@@ -112,7 +112,7 @@
 	x.exchanger = exchanger.New(headers.Headers)
 	x.forwarder = forwarder.New(forwarder.Config{
 		Headers: headers, Router: &x.router, Fleet: &x.fleet, Balancer: x.balancer, Exchanger: x.exchanger,
-		Budget: x.budget, Instances: x.steerer.Live, ExtraLoad: 100 * extraLoadPart * cfg.ExtraLoad.Ratio,
+		Budget: x.budget, Hedger: hedger.New(), Instances: x.steerer.Live, ExtraLoad: 100 * extraLoadPart * cfg.ExtraLoad.Ratio,
 	})
 	x.store = platform.NewStore(cfg.Store)
 	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -104,6 +104,8 @@
 	Balancer  *balancer.Balancer
 	Exchanger *exchanger.Exchanger
 	Budget    *hedger.Budget
+	// Hedger learns the latency of attempts by route.
+	Hedger carobbend.Hedger
 	// Recorder may be nil.
 	Recorder Recorder
 	// Instances returns the number of live instances, by which connections are shared.
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -84,7 +84,7 @@
 		Deadline: q.deadline.Add(-deadlineMargin),
 	}
 	if t := q.route.Target; t > 0 {
-		p.HedgeDelay = time.Duration(hedgeShare * float64(t))
+		p.HedgeDelay = min(time.Duration(hedgeShare*float64(t)), q.f.Hedger.Delay(q.route.Name))
 	}
 	if q.fansOut() {
 		p.MinCoverage = q.route.MinCoverage
@@ -280,6 +280,7 @@
 	q.f.Balancer.End(now, sent, kind, load)
 	if kind == carobbend.FailureNone {
 		q.f.latencies.observe(q.route, now.Sub(began))
+		q.f.Hedger.Observe(q.route.Name, now.Sub(began))
 	}
 	if q.f.Recorder != nil {
 		q.f.Recorder.Attempted(attempt, kind)
