Name the instances of the caller's data centre where two or more serve there

Cause: two thirds of the callers connected across data centres, 1 to 2.4 ms further for each round trip and paid by the byte.

--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -22,6 +22,8 @@
 const (
 	// maxAddresses is the greatest number of addresses of an answer.
 	maxAddresses = 64
+	// enoughNear is the number of instances in a caller's data centre that are named without those of others.
+	enoughNear = 2
 	// validity is how long a caller may keep an answer. Some keep it three times as long, which a drain waits for.
 	validity = time.Second
 )
@@ -65,18 +67,32 @@
 	return n
 }
 
-// Addresses returns where a caller in a data centre should connect, or false where no instance is known to serve.
-func (s *Steerer) Addresses(_ carobbend.DataCentre) (carobbend.Addresses, bool) {
+// Addresses returns where a caller in a data centre should connect, or false where no instance is known to serve. It
+// names the instances of that data centre alone where there are enough of them that the loss of one leaves another.
+func (s *Steerer) Addresses(dc carobbend.DataCentre) (carobbend.Addresses, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := carobbend.Addresses{ValidFor: validity}
+	var near, all []string
+	add := func(x carobbend.Instance) {
+		all = append(all, x.CallerAddress)
+		if x.DataCentre == dc {
+			near = append(near, x.CallerAddress)
+		}
+	}
 	if s.ready {
-		a.Addresses = append(a.Addresses, s.self.CallerAddress)
+		add(s.self)
 	}
 	for _, x := range s.instances {
-		if x.Name != s.self.Name && len(a.Addresses) < maxAddresses {
-			a.Addresses = append(a.Addresses, x.CallerAddress)
+		if x.Name != s.self.Name {
+			add(x)
 		}
 	}
+	a := carobbend.Addresses{Addresses: all, ValidFor: validity}
+	if len(near) >= enoughNear {
+		a.Addresses = near
+	}
+	if n := len(a.Addresses); n > maxAddresses {
+		a.Addresses = a.Addresses[:maxAddresses]
+	}
 	return a, len(a.Addresses) > 0
 }
