Let a query through now and then whatever is expected

Change: gatherer.Gate admits a query each 50 ms; the usual latency counts at most 0.3 of the target when late replies are foreseen; an idle upstream is expected to take at most 1.5 usual latencies; a failure at once isn't a fast reply; one request at a time tries a slow upstream.

--- a/balancer/node.go
+++ b/balancer/node.go
@@ -26,7 +26,7 @@
 	// cutFactor scales the age of a request that was cut: it has lasted at least that long and wasn't near its end.
 	cutFactor = 2
 	// restFactor bounds the latency, in reference latencies, that is expected of an upstream which was not asked for long.
-	restFactor = 2
+	restFactor = 1.5
 	// overdueFactor scales the baseline to the age at which a request in flight counts as overdue.
 	overdueFactor = 2
 	// shedPause is the time for which an upstream that shed a request is passed over. 20 ms sent all requests to the
@@ -111,7 +111,8 @@
 	}
 	// A baseline that was learned in bad times alone says nothing about better ones.
 	rest := min(n.baseline, restFactor*float64(referenceLatency))
-	if n.latency <= rest {
+	if n.latency <= rest || n.inFlight > 0 {
+		// One request at a time finds out whether a slow upstream has recovered.
 		return n.latency
 	}
 	return rest + (n.latency-rest)*math.Exp(-float64(now.Sub(n.observedAt))/float64(forget))
@@ -184,7 +185,12 @@
 
 // cut learns from a request without a reply, which can only raise the estimate.
 func (n *node) cut(now time.Time, age time.Duration) {
-	if l := float64(age) * cutFactor; l > n.latency {
+	l := float64(age) * cutFactor
+	if n.samples == 0 {
+		// A failure at once isn't a fast reply.
+		l = max(l, float64(referenceLatency))
+	}
+	if l > n.latency {
 		n.observe(now, l)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -124,6 +124,7 @@
 	refusing  atomic.Bool
 	inFlight  atomic.Int64
 	latencies latencies
+	gates     gates
 }
 
 // New returns a forwarder.
--- a/forwarder/latencies.go
+++ b/forwarder/latencies.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"carobbend.example/carobbend/gatherer"
 	"carobbend.example/carobbend/router"
 )
 
@@ -56,3 +57,23 @@
 	u.n++
 	u.mean += max(usualWeight, 1/float64(u.n)) * (float64(latency) - u.mean)
 }
+
+// gates holds the gate of each route. The zero value is empty.
+type gates struct {
+	mu     sync.Mutex
+	routes map[string]*gatherer.Gate
+}
+
+func (g *gates) of(r *router.Route) *gatherer.Gate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	gate := g.routes[r.Name]
+	if gate == nil {
+		if g.routes == nil {
+			g.routes = map[string]*gatherer.Gate{}
+		}
+		gate = &gatherer.Gate{}
+		g.routes[r.Name] = gate
+	}
+	return gate
+}
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -136,25 +136,21 @@
 	if p.AnswerBy.IsZero() {
 		return nil
 	}
-	left := p.AnswerBy.Sub(now)
 	expected := make([]time.Duration, p.Shards)
-	full := 0
+	usual := min(q.usual, time.Duration(mostUsual*float64(q.route.Target)))
 	for i, service := range q.services {
-		o := q.f.Balancer.Outlook(now, q.f.fleet.Candidates(service), q.usual)
+		o := q.f.Balancer.Outlook(now, q.f.fleet.Candidates(service), usual)
 		expected[i] = o.Latency
 		if !o.Room {
 			expected[i] = fullLatency
 		}
-		if expected[i] > left {
-			full++
-		}
 	}
-	late := q.gather.Late(expected, left)
-	if full > len(late) && q.mayReturn(now) {
+	skip, ok := q.f.gates.of(q.route).Admit(now, expected, p.AnswerBy.Sub(now), q.gather.Need())
+	if !ok && q.mayReturn(now) {
 		after := returnMin + rand.N(returnSpread)
 		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "too few shards can reply in time", after}
 	}
-	for _, i := range late {
+	for _, i := range skip {
 		q.gather.Skip(i)
 		q.skipped[i] = true
 		q.skips++
@@ -170,6 +166,9 @@
 const (
 	// fullLatency stands for the latency of a shard whose upstreams all have long queues.
 	fullLatency = time.Hour
+	// mostUsual bounds the usual latency, in latency targets, by which late replies are foreseen. A usual latency that
+	// was learned in bad times must not make every shard late.
+	mostUsual = 0.3
 	// returnMin and returnSpread bound the time after which refused callers come back, spread so that they don't meet
 	// again.
 	returnMin    = 100 * time.Millisecond
--- /dev/null
+++ b/gatherer/gate_test.go
@@ -0,0 +1,45 @@
+package gatherer
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+const msec = time.Millisecond
+
+func TestAdmitLeavesOutLateShards(t *testing.T) {
+	var g Gate
+	expected := []time.Duration{20 * msec, 400 * msec, 30 * msec, 200 * msec, 10 * msec}
+	for _, c := range []struct {
+		need int
+		skip []int
+		ok   bool
+	}{
+		{3, []int{1, 3}, true},
+		{4, nil, false},
+		{2, []int{1, 3}, true},
+	} {
+		g.admitted = start
+		skip, ok := g.Admit(start, expected, 100*msec, c.need)
+		if !slices.Equal(skip, c.skip) || ok != c.ok {
+			t.Errorf("need %d: got %v, %v, want %v, %v", c.need, skip, ok, c.skip, c.ok)
+		}
+	}
+}
+
+// TestRefusalsEnd guards against a route that is refused for good: after a restart in an overload, one data centre's
+// instances refused every query, since none of them could show that the overload was over.
+func TestRefusalsEnd(t *testing.T) {
+	var g Gate
+	expected := []time.Duration{time.Second, time.Second}
+	admitted := 0
+	for ms := range 1000 {
+		if _, ok := g.Admit(at(ms), expected, 100*msec, 2); ok {
+			admitted++
+		}
+	}
+	if admitted != 20 {
+		t.Errorf("admitted in a second of refusals: got %d queries, want 20", admitted)
+	}
+}
