Keep small instances in reserve while larger ones suffice

Change: instances below 0.4 cores follow only the list of instances and enrol, one after the other, where fewer than four instances or 2.4 cores are enrolled or half of that is busy. An instance enrols once it knows its routing.

--- a/cmd/carobbend/forward.go
+++ b/cmd/carobbend/forward.go
@@ -5,11 +5,14 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -94,6 +97,13 @@
 	follower  *follower.Follower
 	enroller  *enroller.Enroller
 	draining  chan struct{}
+	// active says that this instance isn't in reserve.
+	active atomic.Bool
+
+	mu sync.Mutex
+	// enrolled is the last list of instances that was seen in reserve, considering that the look at it is pending.
+	enrolled    map[string]carobbend.Instance
+	considering bool
 }
 
 func newForwardInstance(file string, cfg *settings.Forward) *forwardInstance {
@@ -103,7 +113,7 @@
 	}
 	x.self = carobbend.Instance{
 		Name: cfg.Instance, Incarnation: ulid.Make().String(), DataCentre: cfg.DataCentre,
-		CallerAddress: cfg.Listen.Callers, Ready: true,
+		CallerAddress: cfg.Listen.Callers, Ready: true, Capacity: cfg.Cores,
 	}
 	headers := platform.Headers()
 	x.balancer = balancer.New(balancer.WithOverdue(), balancer.WithForgetting(forgetTime), balancer.WithAllCandidates(),
@@ -120,6 +130,11 @@
 		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances,
 	})
 	x.steerer.SetSelf(x.self, false)
+	if steerer.NeedOf(x.self, nil) == steerer.NeedNow && steerer.Delay(x.self, steerer.NeedNow, 0) == 0 {
+		x.active.Store(true)
+	} else {
+		x.follower.Follow(carobbend.ScopeInstances)
+	}
 	return x
 }
 
@@ -135,6 +150,7 @@
 	ok := x.router.Apply(r)
 	if ok && !x.isDraining() {
 		x.steerer.SetSelf(x.self, true)
+		x.enroller.Enable()
 	}
 	return ok
 }
@@ -162,7 +178,9 @@
 }
 
 func (x *forwardInstance) updateInstances(instances map[string]carobbend.Instance) {
-	if own, ok := instances[x.self.Name]; (!ok || own.Incarnation != x.self.Incarnation) && !x.isDraining() {
+	if !x.active.Load() {
+		x.considerServing(instances)
+	} else if own, ok := instances[x.self.Name]; (!ok || own.Incarnation != x.self.Incarnation) && !x.isDraining() {
 		x.enroller.Missing()
 	}
 	before := x.steerer.Live()
@@ -174,6 +192,29 @@
 	}
 }
 
+// considerServing takes this instance out of reserve where it is needed and still is after the larger ones had time.
+func (x *forwardInstance) considerServing(instances map[string]carobbend.Instance) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.enrolled = instances
+	need := steerer.NeedOf(x.self, instances)
+	if need == steerer.NeedNone || x.considering {
+		return
+	}
+	x.considering = true
+	time.AfterFunc(steerer.Delay(x.self, need, rand.Float64()), func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.considering = false
+		if steerer.NeedOf(x.self, x.enrolled) == steerer.NeedNone || x.isDraining() {
+			return
+		}
+		x.log.Info("out of reserve", "enrolled", len(x.enrolled))
+		x.active.Store(true)
+		x.follower.Follow(carobbend.ScopeAll)
+	})
+}
+
 func (x *forwardInstance) isDraining() bool {
 	select {
 	case <-x.draining:
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -7,6 +7,7 @@
 //
 //	e := enroller.New(enrolment, self, ttl)
 //	go e.Run(ctx)
+//	e.Enable()  // the instance can serve
 //	e.Missing() // the entry isn't in the list any more
 //	e.Withdraw(ctx)
 package enroller
@@ -14,6 +15,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,16 +36,40 @@
 // Enroller keeps one instance enrolled.
 type Enroller struct {
 	enrolment carobbend.Enrolment
-	self      carobbend.Instance
 	ttl       time.Duration
 	log       logger.Logger
 	missing   chan struct{}
+	enabled   chan struct{}
+	enable    sync.Once
 	withdrawn atomic.Bool
+
+	mu   sync.Mutex
+	self carobbend.Instance
 }
 
 // New returns an enroller; the lease ends ttl after the last renewal.
 func New(e carobbend.Enrolment, self carobbend.Instance, ttl time.Duration) *Enroller {
-	return &Enroller{enrolment: e, self: self, ttl: ttl, log: logger.New("enroller"), missing: make(chan struct{}, 1)}
+	return &Enroller{
+		enrolment: e, self: self, ttl: ttl, log: logger.New("enroller"),
+		missing: make(chan struct{}, 1), enabled: make(chan struct{}),
+	}
+}
+
+// Enable lets Run announce the instance; until then nothing is written.
+func (e *Enroller) Enable() { e.enable.Do(func() { close(e.enabled) }) }
+
+// Update changes what is announced.
+func (e *Enroller) Update(self carobbend.Instance) {
+	e.mu.Lock()
+	e.self = self
+	e.mu.Unlock()
+	e.Missing()
+}
+
+func (e *Enroller) instance() carobbend.Instance {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.self
 }
 
 // Missing tells that the entry was seen to be removed.
@@ -56,6 +82,11 @@
 
 // Run announces the instance and renews its lease until ctx ends or the instance withdraws.
 func (e *Enroller) Run(ctx context.Context) error {
+	select {
+	case <-e.enabled:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	announced, failures := false, 0
@@ -64,9 +95,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.missing:
-			if announced {
-				e.log.Info("own entry is missing, announcing again")
-			}
+			// The entry was removed or is out of date.
 			announced = false
 		case <-timer.C:
 		}
@@ -78,7 +107,8 @@
 		pause := e.ttl / renewals
 		switch {
 		case err == nil && !announced:
-			e.log.Info("announced", "instance", e.self.Name, "address", e.self.CallerAddress, "ttl", e.ttl)
+			e.log.Info("announced", "instance", e.instance().Name, "address", e.instance().CallerAddress, "ttl", e.ttl,
+				"busy", e.instance().Busy)
 			announced = true
 		case err != nil && carobbend.StoreFailureOf(err) == carobbend.StoreNotFound:
 			e.log.Info("lease ended, announcing again")
@@ -107,7 +137,7 @@
 	if announced {
 		return e.enrolment.Renew(ctx)
 	}
-	return e.enrolment.Announce(ctx, e.self, e.ttl)
+	return e.enrolment.Announce(ctx, e.instance(), e.ttl)
 }
 
 // Withdraw removes the instance from the list and lets Run renew nothing more. A failure leaves the removal to the end of
--- a/feed.go
+++ b/feed.go
@@ -8,13 +8,23 @@
 // Feed is what a platform's store tells an instance: routing, upstreams and instances. An error is a *StoreError; its
 // kind compacted says that the changes after a revision are no longer known.
 type Feed interface {
-	// List returns everything as of a revision.
-	List(ctx context.Context) (Listing, error)
-	// Changes waits until something changed after the revision, at most wait, and returns the changes and the revision
-	// to continue from.
-	Changes(ctx context.Context, after uint64, wait time.Duration) ([]FeedChange, uint64, error)
+	// List returns everything in scope as of a revision.
+	List(ctx context.Context, scope FeedScope) (Listing, error)
+	// Changes waits until something in scope changed after the revision, at most wait, and returns the changes and the
+	// revision to continue from.
+	Changes(ctx context.Context, scope FeedScope, after uint64, wait time.Duration) ([]FeedChange, uint64, error)
 }
 
+// FeedScope is the part of a Feed that an instance follows.
+type FeedScope int
+
+const (
+	// ScopeAll is everything.
+	ScopeAll FeedScope = iota
+	// ScopeInstances is the list of instances, for an instance in reserve.
+	ScopeInstances
+)
+
 // Listing is the whole content of a Feed.
 type Listing struct {
 	Revision uint64
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -28,6 +29,10 @@
 	// watchWait bounds one watch. A quiet watch costs a call, a lost one is noticed this much later at the worst; TCP
 	// keep-alive notices most of them before.
 	watchWait = 5 * time.Second
+	// reserveWait and reserveCollect take the place of watchWait and collect while only the list of instances is followed:
+	// an instance in reserve has time, and there may be many.
+	reserveWait    = 25 * time.Second
+	reserveCollect = time.Second
 	// watchSlack is the time that a watch may take beyond its wait.
 	watchSlack = 1500 * time.Millisecond
 	// listTimeout bounds the reading of everything.
@@ -58,6 +63,11 @@
 
 	revision uint64
 	synced   bool
+	// wanted is the scope to follow, scope the one that is followed.
+	wanted atomic.Int64
+	scope  carobbend.FeedScope
+	// wake ends the wait for changes.
+	wake chan struct{}
 	// away says that the last call failed; failures counts those in a row.
 	away     bool
 	failures int
@@ -70,6 +80,18 @@
 		feed: feed, handlers: h, log: logger.New("follower"), away: true,
 		upstreams: registrar.New[carobbend.UpstreamRecord](Grace),
 		instances: registrar.New[carobbend.Instance](Grace),
+		wake:      make(chan struct{}, 1),
+	}
+}
+
+// Follow changes the scope; what was known outside a narrower one is kept as it was.
+func (f *Follower) Follow(scope carobbend.FeedScope) {
+	if f.wanted.Swap(int64(scope)) == int64(scope) {
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -83,24 +105,58 @@
 		case err != nil:
 			sleeper.Sleep(ctx, f.failed(time.Now(), err))
 		case changed:
-			sleeper.Sleep(ctx, collect)
+			f.pause(ctx)
 		}
 	}
 	return ctx.Err()
 }
 
+// pause lets further changes gather.
+func (f *Follower) pause(ctx context.Context) {
+	d := collect
+	if f.scope == carobbend.ScopeInstances {
+		d = reserveCollect
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.wake:
+	case <-ctx.Done():
+	}
+}
+
 // step makes one call to the feed and reports whether anything changed.
 func (f *Follower) step(ctx context.Context) (bool, error) {
+	if scope := carobbend.FeedScope(f.wanted.Load()); scope != f.scope {
+		f.log.Info("scope changed", "everything", scope == carobbend.ScopeAll, "revision", f.revision)
+		f.scope, f.synced = scope, false
+	}
 	if !f.synced {
 		return true, f.list(ctx)
 	}
 	wait := watchWait
+	if f.scope == carobbend.ScopeInstances {
+		wait = reserveWait
+	}
 	if f.upstreams.Held()+f.instances.Held() > 0 {
 		wait = Grace / 2
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	changes, next, err := f.feed.Changes(ctx, f.revision, wait)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-f.wake:
+			cancel()
+		case <-stop:
+		}
+	}()
+	changes, next, err := f.feed.Changes(ctx, f.scope, f.revision, wait)
+	if err != nil && carobbend.FeedScope(f.wanted.Load()) != f.scope {
+		return true, nil
+	}
 	if err != nil {
 		return false, err
 	}
@@ -114,7 +170,7 @@
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	l, err := f.feed.List(ctx)
+	l, err := f.feed.List(ctx, f.scope)
 	if err != nil {
 		return err
 	}
@@ -124,11 +180,13 @@
 	if l.Routing != nil {
 		f.route(l.Routing)
 	}
-	f.upstreams.Replace(now, l.Upstreams)
+	if f.scope == carobbend.ScopeAll {
+		f.upstreams.Replace(now, l.Upstreams)
+	}
 	f.instances.Replace(now, l.Instances)
 	f.log.Info("state read", "revision", l.Revision, "upstreams", len(l.Upstreams), "instances", len(l.Instances),
 		"removals-held", f.upstreams.Held()+f.instances.Held())
-	f.publish(true, true)
+	f.publish(f.scope == carobbend.ScopeAll, true)
 	return nil
 }
 
--- a/instance.go
+++ b/instance.go
@@ -21,6 +21,10 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Load is the share of its capacity in use, from 0 to 1.
 	Load float64 `json:"load,omitempty"`
+	// Capacity is the processor time that the instance may use, in cores; 0 means that it isn't known.
+	Capacity float64 `json:"capacity,omitempty"`
+	// Busy says that the instance needs others to take over callers.
+	Busy bool `json:"busy,omitempty"`
 	// RulesVersion is the version of the rule file in force there.
 	RulesVersion uint64 `json:"rules-version,omitempty"`
 	// Sequence rises with each change that the instance announces within one incarnation.
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -20,6 +20,8 @@
 	Lease time.Duration `yaml:"lease" validate:"gte=1000000000"`
 	// StopGrace is the time from SIGTERM until the process is killed.
 	StopGrace time.Duration `yaml:"stop-grace" validate:"gte=1000000000"`
+	// Cores is the processor time that the process may use, in cores; 0 means that it isn't known.
+	Cores float64 `yaml:"cores" validate:"gte=0"`
 	// MemoryMB is the memory of the process in MB; 0 leaves the runtime's default.
 	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
 	// ExtraLoad bounds hedges and retries.
