--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -198,6 +198,9 @@
 	if load >= 0 {
 		n.load, n.loadAt = load, now
 	}
+	if b.overdue && kind != carobbend.FailureCanceled && kind != carobbend.FailureSnapshotGone {
+		n.ended(now, kind != carobbend.FailureNone)
+	}
 	switch kind {
 	case carobbend.FailureNone:
 		n.succeeded(now, latency)
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -25,6 +25,15 @@
 	maxPenalty = time.Second
 	// cutFactor scales the age of a request that was cut: it has lasted at least that long and wasn't near its end.
 	cutFactor = 2
+	// faultWindow is the time constant with which the share of failures is forgotten.
+	faultWindow = 3 * time.Second
+	// faultRise and faultFall are the weights of a failure and of a success in the share of failures: it rises within a
+	// few requests and falls as slowly as the share that is left asks for.
+	faultRise = 0.3
+	faultFall = 0.15
+	// faultFactor scales scores by the share of failures. An upstream that fails or sheds two in five requests while its
+	// load is low is asked only where the others are about five times as slow.
+	faultFactor = 8
 	// restFactor bounds the latency, in reference latencies, that is expected of an upstream which was not asked for long.
 	restFactor = 1.5
 	// overdueFactor scales the baseline to the age at which a request in flight counts as overdue.
@@ -75,9 +84,12 @@
 	observedAt time.Time
 	penalty    float64
 	penaltyAt  time.Time
-	shedUntil  time.Time
-	load       float64
-	loadAt     time.Time
+	// fault is the smoothed share of requests that failed or were shed.
+	fault     float64
+	faultAt   time.Time
+	shedUntil time.Time
+	load      float64
+	loadAt    time.Time
 	// since is the time of the first contact or of the last recovery.
 	since        time.Time
 	leaving      bool
@@ -94,7 +106,26 @@
 	if hint {
 		s *= 1 + n.hint(now)
 	}
-	return s
+	return s * (1 + faultFactor*n.faultNow(now))
+}
+
+// faultNow is the share of failures, which is forgotten with time.
+func (n *node) faultNow(now time.Time) float64 {
+	if n.fault == 0 {
+		return 0
+	}
+	return n.fault * math.Exp(-float64(now.Sub(n.faultAt))/float64(faultWindow))
+}
+
+// ended counts a request in the share of failures.
+func (n *node) ended(now time.Time, failed bool) {
+	f := n.faultNow(now)
+	if failed {
+		f += faultRise * (1 - f)
+	} else {
+		f -= faultFall * f
+	}
+	n.fault, n.faultAt = f, now
 }
 
 // expected is the latency that a request has now.
