Count and log what a forwarding instance does; test the exchanger

Cause: an instance showed no metrics, its log wrote on the path of requests, and the promises of the exchanger had no tests.

Change: meter.Forward on the metrics address; logger.Async drops and counts lines where the output is slow; instances announce that they are busy; the wiring of 'forward' is split into files; tests of foreign, extra, short and early replies, of single sending, cancel and the connection limit.

--- /dev/null
+++ b/cmd/carobbend/forwardinstance.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"math/rand/v2"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/balancer"
+	"carobbend.example/carobbend/enroller"
+	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/follower"
+	"carobbend.example/carobbend/forwarder"
+	"carobbend.example/carobbend/hedger"
+	"carobbend.example/carobbend/logger"
+	"carobbend.example/carobbend/meter"
+	"carobbend.example/carobbend/platform"
+	"carobbend.example/carobbend/router"
+	"carobbend.example/carobbend/settings"
+	"carobbend.example/carobbend/steerer"
+)
+
+const (
+	// extraLoadPart is the part of the shared bound on extra load that instances use; the rest covers requests that
+	// callers count but that never reach an instance.
+	extraLoadPart = 0.85
+	// farFactor scales the score of upstreams in other data centres; bytes between data centres are paid for.
+	farFactor = 1.6
+	// forgetTime is the time constant with which a raised latency of an unused upstream returns to its baseline.
+	forgetTime = time.Second
+	// memoryPart is the part of the memory that the runtime may use before it collects garbage more often.
+	memoryPart = 0.6
+)
+
+// forwardInstance is one forwarding instance with all its parts.
+type forwardInstance struct {
+	file string
+	cfg  *settings.Forward
+	self carobbend.Instance
+	log  logger.Logger
+
+	router    router.Router
+	fleet     forwarder.Fleet
+	steerer   steerer.Steerer
+	balancer  *balancer.Balancer
+	budget    *hedger.Budget
+	exchanger *exchanger.Exchanger
+	forwarder *forwarder.Forwarder
+	store     *platform.Store
+	follower  *follower.Follower
+	enroller  *enroller.Enroller
+	meter     *meter.Forward
+	draining  chan struct{}
+	// active says that this instance isn't in reserve.
+	active atomic.Bool
+
+	mu sync.Mutex
+	// enrolled is the last list of instances that was seen in reserve, considering that the look at it is pending.
+	enrolled    map[string]carobbend.Instance
+	considering bool
+}
+
+func newForwardInstance(file string, cfg *settings.Forward) *forwardInstance {
+	x := &forwardInstance{file: file, cfg: cfg, log: logger.New("instance"), draining: make(chan struct{})}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
+	}
+	x.self = carobbend.Instance{
+		Name: cfg.Instance, Incarnation: ulid.Make().String(), DataCentre: cfg.DataCentre,
+		CallerAddress: cfg.Listen.Callers, Ready: true, Capacity: cfg.Cores,
+	}
+	headers := platform.Headers()
+	x.balancer = balancer.New(balancer.WithOverdue(), balancer.WithForgetting(forgetTime), balancer.WithAllCandidates(),
+		balancer.WithDistance(x.distance), balancer.WithSeed(uint64(time.Now().UnixNano())))
+	x.budget = hedger.NewBudget(hedger.WithBurst(1))
+	x.exchanger = exchanger.New(headers.Headers)
+	x.forwarder = forwarder.New(forwarder.Config{
+		Headers: headers, Router: &x.router, Fleet: &x.fleet, Balancer: x.balancer, Exchanger: x.exchanger,
+		Budget: x.budget, Hedger: hedger.New(), Instances: x.steerer.Live, ExtraLoad: 100 * extraLoadPart * cfg.ExtraLoad.Ratio,
+	})
+	x.store = platform.NewStore(cfg.Store)
+	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
+	x.follower = follower.New(platform.NewFeed(x.store), follower.Handlers{
+		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances,
+	})
+	x.steerer.SetSelf(x.self, false)
+	if steerer.NeedOf(x.self, nil) == steerer.NeedNow && steerer.Delay(x.self, steerer.NeedNow, 0) == 0 {
+		x.active.Store(true)
+	} else {
+		x.follower.Follow(carobbend.ScopeInstances)
+	}
+	return x
+}
+
+// measure attaches the metrics.
+func (x *forwardInstance) measure(lines *logger.Async) error {
+	m, err := meter.NewForward(meter.ForwardSources{
+		StoreCalls: x.store.Calls, Connections: x.exchanger.Open, Opened: x.exchanger.Opened,
+		InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
+		Upstreams: func() int64 { return int64(x.fleet.Size()) },
+		Members:   func() int64 { return int64(x.steerer.Live()) },
+		RoutingVersion: func() int64 {
+			if t := x.router.Table(); t != nil {
+				return int64(t.Version())
+			}
+			return 0
+		},
+	})
+	if err != nil {
+		return err
+	}
+	x.meter = m
+	x.forwarder.Recorder = m
+	return nil
+}
+
+// distance prefers upstreams of this data centre.
+func (x *forwardInstance) distance(id carobbend.UpstreamID) float64 {
+	if r, ok := x.fleet.Record(id); ok && r.DataCentre == x.self.DataCentre {
+		return 1
+	}
+	return farFactor
+}
+
+func (x *forwardInstance) applyRouting(r *carobbend.Routing) bool {
+	ok := x.router.Apply(r)
+	if ok && !x.isDraining() {
+		x.steerer.SetSelf(x.self, true)
+		x.enroller.Enable()
+	}
+	return ok
+}
+
+func (x *forwardInstance) updateUpstreams(records map[string]carobbend.UpstreamRecord) {
+	all := make([]carobbend.UpstreamRecord, 0, len(records))
+	for _, r := range records {
+		all = append(all, r)
+	}
+	c := x.fleet.Update(all)
+	now := time.Now()
+	for _, r := range c.Joined {
+		x.balancer.Forget(r.ID)
+		x.log.Info("upstream joined", "upstream", r.ID, "service", r.Service, "address", r.Address)
+	}
+	for _, r := range c.Leaving {
+		x.balancer.Leaving(now, r.ID, true)
+		x.log.Info("upstream leaving", "upstream", r.ID, "service", r.Service)
+	}
+	for _, r := range c.Left {
+		x.balancer.Forget(r.ID)
+		x.exchanger.Forget(r.ID)
+		x.log.Info("upstream left", "upstream", r.ID, "service", r.Service)
+	}
+}
+
+func (x *forwardInstance) updateInstances(instances map[string]carobbend.Instance) {
+	if !x.active.Load() {
+		x.considerServing(instances)
+	} else if own, ok := instances[x.self.Name]; (!ok || own.Incarnation != x.self.Incarnation) && !x.isDraining() {
+		x.enroller.Missing()
+	}
+	before := x.steerer.Live()
+	x.steerer.Update(instances)
+	n := x.steerer.Live()
+	x.budget.SetBurst(int(extraLoadPart * float64(x.cfg.ExtraLoad.Slack) / float64(n)))
+	if n != before {
+		x.log.Info("instances changed", "live", n, "before", before)
+	}
+}
+
+// considerServing takes this instance out of reserve where it is needed and still is after the larger ones had time.
+func (x *forwardInstance) considerServing(instances map[string]carobbend.Instance) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.enrolled = instances
+	need := steerer.NeedOf(x.self, instances)
+	if need == steerer.NeedNone || x.considering {
+		return
+	}
+	x.considering = true
+	time.AfterFunc(steerer.Delay(x.self, need, rand.Float64()), func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.considering = false
+		if steerer.NeedOf(x.self, x.enrolled) == steerer.NeedNone || x.isDraining() {
+			return
+		}
+		x.log.Info("out of reserve", "enrolled", len(x.enrolled))
+		x.active.Store(true)
+		x.follower.Follow(carobbend.ScopeAll)
+	})
+}
+
+func (x *forwardInstance) isDraining() bool {
+	select {
+	case <-x.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// ready reports whether callers may be sent here.
+func (x *forwardInstance) ready() bool { return x.router.Table() != nil && !x.isDraining() }
--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -66,7 +67,7 @@
 	// Header holds the lines to pass on, each "Name: value\r\n", without those that this package sets.
 	Header []byte
 	Body   []byte
-	// Chunked says that the caller sent the body in chunks; it is sent with its length all the same.
+	// HasBody says that the request has a body, which may be empty. It is sent with its length however it came.
 	HasBody bool
 	// Deadline is the time at which the reply is of no use.
 	Deadline time.Time
@@ -222,17 +223,13 @@
 func (a *Attempt) read(c *conn, r *Request) (*Reply, bool, error) {
 	clean := true
 	for range maxSkipped + 1 {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		resp, body, err := readReply(c.r, r.Method)
 		if err != nil {
 			return nil, false, a.fail("read reply", carobbend.FailureBroken, err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(resp)
-		if err != nil {
-			return nil, false, a.fail("read body", carobbend.FailureBroken, err)
-		}
 		if id := resp.Header.Get(a.x.headers.RequestID); id != "" && id != r.ID {
 			clean = false
 			continue
@@ -256,9 +253,19 @@
 	errLongReply    = errors.New("the reply is longer than allowed")
 )
 
-func readBody(resp *http.Response) ([]byte, error) {
+// readReply reads a reply with its whole body, which is closed in the reply that it returns.
+func readReply(r *bufio.Reader, method string) (*http.Response, []byte, error) {
+	resp, err := http.ReadResponse(r, &http.Request{Method: method})
+	if err != nil {
+		return nil, nil, err
+	}
 	// The body is read to its end, so closing it can't fail.
 	defer func() { _ = resp.Body.Close() }()
+	body, err := readBody(resp)
+	return resp, body, err
+}
+
+func readBody(resp *http.Response) ([]byte, error) {
 	if resp.ContentLength > maxBuffered {
 		return nil, errLongReply
 	}
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,404 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"carobbend.example/carobbend"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var names = Headers{
+	RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load",
+}
+
+// upstream is a server that handles each connection by a script.
+type upstream struct {
+	net.Listener
+	conns atomic.Int64
+	last  atomic.Pointer[http.Request]
+}
+
+// serve calls handle for each request with its number on the connection; a false result closes the connection.
+func serve(t *testing.T, handle func(w io.Writer, r *http.Request, n int) bool) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{Listener: l}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					u.last.Store(r)
+					if !handle(c, r, n) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-done
+	})
+	return u
+}
+
+func (u *upstream) target() Target {
+	return Target{ID: "up-1", Address: u.Addr().String(), MaxConns: 2}
+}
+
+func newExchanger(t *testing.T) *Exchanger {
+	t.Helper()
+	x := New(names)
+	t.Cleanup(func() { x.Forget("up-1") })
+	return x
+}
+
+func request(id string) *Request {
+	return &Request{Method: "GET", URI: "/a%2fb?q=1", Host: "h.example", ID: id, Deadline: time.Now().Add(5 * time.Second)}
+}
+
+func do(x *Exchanger, u *upstream, r *Request) (*Reply, error) {
+	return x.Attempt(context.Background()).Do(u.target(), r)
+}
+
+func reply(w io.Writer, r *http.Request, status int, body string, headers ...string) {
+	fmt.Fprintf(w, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, r.Header.Get("X-Id"), strings.Join(headers, ""), len(body), body)
+}
+
+func TestExchange(t *testing.T) {
+	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		reply(w, r, 200, "body", "X-Load: 3,1,8\r\n")
+		return true
+	})
+	x := newExchanger(t)
+	for range 3 {
+		got, err := do(x, u, request("r1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(got.Body) != "body" || got.Status != 200 || !got.HasLoad || got.Load.Utilization() != 0.5 {
+			t.Errorf("got %+v, want status 200, the body and a load of 0.5", got)
+		}
+	}
+	if got := u.conns.Load(); got != 1 {
+		t.Errorf("connections: got %d, want 1", got)
+	}
+	r := u.last.Load()
+	if r.RequestURI != "/a%2fb?q=1" || r.Host != "h.example" || r.Header.Get("X-Upstream") != "up-1" {
+		t.Errorf("got target %q, host %q, upstream %q, want them unchanged", r.RequestURI, r.Host, r.Header.Get("X-Upstream"))
+	}
+	if got := r.Header.Get("X-Left"); got == "" || len(got) > 4 {
+		t.Errorf("time left: got %q ms, want up to 5000", got)
+	}
+}
+
+// TestForeignReply guards against taking the late reply to an earlier request for one's own.
+func TestForeignReply(t *testing.T) {
+	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong")
+		reply(w, r, 200, "right")
+		return true
+	})
+	x := newExchanger(t)
+	for range 2 {
+		got, err := do(x, u, request("mine"))
+		if err != nil || string(got.Body) != "right" {
+			t.Fatalf("got %v, %v, want the reply with the own id", got, err)
+		}
+	}
+	if got := u.conns.Load(); got != 2 {
+		t.Errorf("connections: got %d, want 2, since a connection with a foreign reply isn't used again", got)
+	}
+}
+
+// TestExtraBytes guards against using a connection on which more than the reply arrived.
+func TestExtraBytes(t *testing.T) {
+	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		reply(w, r, 200, "a")
+		reply(w, r, 200, "b")
+		return true
+	})
+	x := newExchanger(t)
+	for range 3 {
+		if got, err := do(x, u, request("r")); err != nil || string(got.Body) != "a" {
+			t.Fatalf("got %v, %v, want a", got, err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := u.conns.Load(); got != 3 {
+		t.Errorf("connections: got %d, want 3", got)
+	}
+}
+
+// TestNeverSentTwice guards against a second run: whatever becomes of a written request, it is written once.
+func TestNeverSentTwice(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply string
+		kind  carobbend.FailureKind
+	}{
+		{"closed without a reply", "", carobbend.FailureBroken},
+		{"short body", "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 9\r\n\r\nshort", carobbend.FailureBroken},
+		{"short chunks", "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", carobbend.FailureBroken},
+		{"no reply at all", "garbage\r\n\r\n", carobbend.FailureBroken},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			u := serve(t, func(w io.Writer, r *http.Request, n int) bool {
+				if r.Header.Get("X-Id") == "warm" {
+					reply(w, r, 200, "")
+					return true
+				}
+				runs.Add(1)
+				fmt.Fprint(w, c.reply)
+				return false
+			})
+			x := newExchanger(t)
+			// The request goes over a connection that was used before, which http.Transport would resend.
+			if _, err := do(x, u, request("warm")); err != nil {
+				t.Fatal(err)
+			}
+			_, err := do(x, u, request("r"))
+			if got := KindOf(err); got != c.kind {
+				t.Errorf("kind: got %q (%v), want %q", got, err, c.kind)
+			}
+			if got := runs.Load(); got != 1 {
+				t.Errorf("runs: got %d, want 1", got)
+			}
+		})
+	}
+}
+
+// TestClosedWhileIdle guards against writing a request to a connection that the upstream has closed.
+func TestClosedWhileIdle(t *testing.T) {
+	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		reply(w, r, 200, "ok")
+		return false
+	})
+	x := newExchanger(t)
+	for range 3 {
+		if _, err := do(x, u, request("r")); err != nil {
+			t.Fatal(err)
+		}
+		// The upstream's close crosses loopback within this time.
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		if r.Header.Get("X-Id") == "moved" {
+			reply(w, r, StatusMisdirected, "")
+		} else {
+			reply(w, r, 503, "", "X-Not-Run: 1\r\n")
+		}
+		return true
+	})
+	x := newExchanger(t)
+	for _, id := range []string{"moved", "full"} {
+		got, err := do(x, u, request(id))
+		if err != nil || !got.NotRun {
+			t.Errorf("%s: got %+v, %v, want a reply that it didn't run", id, got, err)
+		}
+	}
+}
+
+func TestNoListener(t *testing.T) {
+	u := serve(t, func(io.Writer, *http.Request, int) bool { return false })
+	u.Close()
+	_, err := do(newExchanger(t), u, request("r"))
+	if got := KindOf(err); got != carobbend.FailureNotSent {
+		t.Errorf("got %q (%v), want not-sent", got, err)
+	}
+}
+
+// TestCancel guards against upstreams that work for callers who have left.
+func TestCancel(t *testing.T) {
+	arrived, closed := make(chan struct{}), make(chan struct{})
+	u := serve(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		close(arrived)
+		c, ok := w.(net.Conn)
+		if !ok {
+			t.Error("not a connection")
+			return false
+		}
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	x := newExchanger(t)
+	a := x.Attempt(context.Background())
+	result := make(chan error, 1)
+	go func() {
+		_, err := a.Do(u.target(), request("r"))
+		result <- err
+	}()
+	<-arrived
+	a.Cancel()
+	if got := KindOf(<-result); got != carobbend.FailureCanceled {
+		t.Errorf("got %q, want canceled", got)
+	}
+	<-closed
+}
+
+// TestEarlyReply guards against a connection on which the rest of a long body is still due being used again.
+func TestEarlyReply(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var conns atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			// The head is read and the body isn't.
+			if _, err := c.Read(make([]byte, 100)); err == nil {
+				fmt.Fprint(c, "HTTP/1.1 413 X\r\nX-Id: r\r\nContent-Length: 0\r\n\r\n")
+			}
+			defer c.Close()
+		}
+	}()
+	x := newExchanger(t)
+	r := request("r")
+	r.Method, r.HasBody, r.Body = "POST", true, make([]byte, 8<<20)
+	for i := range 2 {
+		got, err := x.Attempt(context.Background()).Do(Target{ID: "up-1", Address: l.Addr().String(), MaxConns: 1}, r)
+		if err != nil || got.Status != 413 {
+			t.Fatalf("got %v, %v, want 413", got, err)
+		}
+		if got := conns.Load(); got != int64(i+1) {
+			t.Errorf("connections: got %d, want %d", got, i+1)
+		}
+	}
+}
+
+// TestConnectionLimit guards against more connections than this instance's part.
+func TestConnectionLimit(t *testing.T) {
+	release := make(chan struct{})
+	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		<-release
+		reply(w, r, 200, "")
+		return true
+	})
+	x := newExchanger(t)
+	errs := make(chan error, 6)
+	for range 6 {
+		go func() {
+			_, err := do(x, u, request("r"))
+			errs <- err
+		}()
+	}
+	for x.Open() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := u.conns.Load(); got > 2 {
+		t.Errorf("connections: got %d, want at most 2", got)
+	}
+	close(release)
+	for range 6 {
+		if err := <-errs; err != nil {
+			t.Error(err)
+		}
+	}
+	if got := u.conns.Load(); got != 2 {
+		t.Errorf("connections: got %d, want 2", got)
+	}
+}
+
+func TestParseLoad(t *testing.T) {
+	for _, c := range []struct {
+		in   string
+		want Load
+		ok   bool
+	}{
+		{"3,1,8", Load{3, 1, 8, 1}, true},
+		{"3, 1, 8, 250", Load{3, 1, 8, 2.5}, true},
+		{"", Load{}, false},
+		{"3,1", Load{}, false},
+		{"a,b,c", Load{}, false},
+		{"-1,0,8", Load{}, false},
+	} {
+		if got, ok := parseLoad(c.in); got != c.want || ok != c.ok {
+			t.Errorf("parseLoad(%q): got %v, %v, want %v, %v", c.in, got, ok, c.want, c.ok)
+		}
+	}
+}
+
+// BenchmarkExchange measures one exchange over loopback, both ends included.
+func BenchmarkExchange(b *testing.B) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	body := strings.Repeat("x", 200)
+	answer := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Load: 1,0,3\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf := make([]byte, 4096)
+				for {
+					if _, err := c.Read(buf); err != nil {
+						return
+					}
+					if _, err := c.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	x := New(names)
+	defer x.Forget("up-1")
+	t := Target{ID: "up-1", Address: l.Addr().String(), MaxConns: 1}
+	r := request("r")
+	r.Deadline = time.Now().Add(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := x.Attempt(context.Background()).Do(t, r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -184,9 +184,10 @@
 func TestMerge(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for n := range 30 {
-		var parts [][]byte
+		count := rng.IntN(6)
+		parts := make([][]byte, 0, count)
 		var all [][]byte
-		for range rng.IntN(6) {
+		for range count {
 			p := make([]byte, rng.IntN(200))
 			for i := range p {
 				p[i] = byte(rng.IntN(3))
--- /dev/null
+++ b/meter/forward.go
@@ -0,0 +1,105 @@
+package meter
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/forwarder"
+)
+
+// ForwardSources are read when metrics are collected.
+type ForwardSources struct {
+	StoreCalls     func() int64
+	RoutingVersion func() int64
+	Upstreams      func() int64
+	Connections    func() int64
+	Opened         func() int64
+	InFlight       func() int64
+	Members        func() int64
+	DroppedLines   func() int64
+	Ready          func() bool
+}
+
+// Forward counts what a forwarding instance does; it implements forwarder.Recorder and is safe for concurrent use.
+type Forward struct {
+	registry *prometheus.Registry
+	requests metric.Int64Counter
+	latency  metric.Float64Histogram
+	attempts metric.Int64Counter
+	byRoute  sync.Map
+	byKind   sync.Map
+}
+
+var _ forwarder.Recorder = (*Forward)(nil)
+
+// NewForward returns a meter with its own registry.
+func NewForward(src ForwardSources) (*Forward, error) {
+	reg := prometheus.NewRegistry()
+	exp, err := exporter.New(exporter.WithRegisterer(reg), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return nil, &Error{Op: "new exporter", Err: err}
+	}
+	mt := sdk.NewMeterProvider(sdk.WithReader(exp)).Meter("carobbend")
+	b := &builder{mt: mt}
+	m := &Forward{registry: reg}
+	m.requests = b.counter("carobbend_requests", "Callers' requests ended, by outcome.")
+	m.latency = b.histogram("carobbend_request_duration", "Time from arrival to answer, by route and outcome.")
+	m.attempts = b.counter("carobbend_attempts", "Requests to upstreams ended, by kind and failure.")
+	b.gauge("carobbend_routing_version", "Version of the routing in force.", src.RoutingVersion)
+	b.gauge("carobbend_upstreams", "Known upstreams, leaving ones included.", src.Upstreams)
+	b.gauge("carobbend_upstream_connections", "Open connections to upstreams.", src.Connections)
+	b.sum("carobbend_upstream_connections_opened", "Connections to upstreams opened.", src.Opened)
+	b.gauge("carobbend_requests_in_flight", "Requests of callers being served.", src.InFlight)
+	b.gauge("carobbend_members", "Instances in the list, this one included.", src.Members)
+	b.sum("carobbend_store_calls", "Calls to the store; a watch is one call.", src.StoreCalls)
+	b.sum("carobbend_log_lines_dropped", "Log lines dropped since the output was too slow.", src.DroppedLines)
+	b.flag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
+	b.breaches()
+	if b.err != nil {
+		return nil, &Error{Op: "new instrument", Err: b.err}
+	}
+	return m, nil
+}
+
+// Handler serves the metrics in the Prometheus format.
+func (m *Forward) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+type routeKey struct {
+	route   string
+	outcome forwarder.Outcome
+}
+
+type attemptKey struct {
+	kind    forwarder.AttemptKind
+	failure carobbend.FailureKind
+}
+
+// Answered implements forwarder.Recorder.
+func (m *Forward) Answered(route string, outcome forwarder.Outcome, latency time.Duration) {
+	o := cached(&m.byRoute, routeKey{route, outcome}, func() *recordOptions {
+		return optionsOf(attribute.String("route", route), attribute.String("outcome", string(outcome)))
+	})
+	ctx := context.Background()
+	m.requests.Add(ctx, 1, o.add...)
+	m.latency.Record(ctx, latency.Seconds(), o.record...)
+}
+
+// Attempted implements forwarder.Recorder.
+func (m *Forward) Attempted(kind forwarder.AttemptKind, failure carobbend.FailureKind) {
+	o := cached(&m.byKind, attemptKey{kind, failure}, func() *recordOptions {
+		return optionsOf(attribute.String("kind", string(kind)), attribute.String("failure", string(failure)))
+	})
+	m.attempts.Add(context.Background(), 1, o.add...)
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -199,14 +199,7 @@
 	b.gauge("carobbend_requests_in_flight", "Requests of callers being served.", src.InFlight)
 	b.gauge("carobbend_upstream_connections", "Open connections to upstreams.", src.Connections)
 	b.gauge("carobbend_members", "Live instances in the membership view.", src.Members)
-	if src.Ready != nil {
-		b.gauge("carobbend_ready", "1 if this instance may be named to callers.", func() int64 {
-			if src.Ready() {
-				return 1
-			}
-			return 0
-		})
-	}
+	b.flag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
 	b.sum("carobbend_store_calls", "Calls to the store; a watch is one call.", src.StoreCalls)
 	if src.ExtraLoad != nil {
 		b.shardRequests(src.ExtraLoad)
@@ -223,6 +216,19 @@
 	b.keep(err)
 }
 
+// flag shows a condition as 1 or 0.
+func (b *builder) flag(name, help string, f func() bool) {
+	if f == nil {
+		return
+	}
+	b.gauge(name, help, func() int64 {
+		if f() {
+			return 1
+		}
+		return 0
+	})
+}
+
 func (b *builder) sum(name, help string, f func() int64) {
 	if f == nil {
 		return
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -89,7 +89,7 @@
 func BenchmarkFind(b *testing.B) {
 	for _, n := range []int{10, 400} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var routes []carobbend.Route
+			routes := make([]carobbend.Route, 0, n)
 			for i := range n {
 				routes = append(routes, single("a.example", fmt.Sprintf("/p%d/q/", i), "s"))
 			}
