--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,410 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/balancer"
+	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/hedger"
+	"carobbend.example/carobbend/router"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var names = Headers{
+	Headers: exchanger.Headers{RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load"},
+	Proof:   "X-Proof", Proofs: "X-Proofs", Missing: "X-Missing",
+}
+
+// tier is a forwarder with stand-ins of its upstreams.
+type tier struct {
+	*Forwarder
+	*httptest.Server
+	routing carobbend.Routing
+	records []carobbend.UpstreamRecord
+	router  *router.Router
+	runs    sync.Map
+}
+
+func newTier(t *testing.T) *tier {
+	t.Helper()
+	x := exchanger.New(names.Headers)
+	budget := hedger.NewBudget()
+	r := &router.Router{}
+	fleet := &Fleet{}
+	f := New(Config{
+		Headers: names, Router: r, Fleet: fleet, Exchanger: x, Budget: budget, Hedger: hedger.New(), ExtraLoad: 100,
+		Balancer: balancer.New(balancer.WithOverdue(), balancer.WithAllCandidates()),
+	})
+	s := httptest.NewUnstartedServer(f)
+	s.Config.ConnContext = ConnContext
+	s.Start()
+	tr := &tier{Forwarder: f, Server: s, router: r}
+	t.Cleanup(func() {
+		s.Close()
+		for _, u := range tr.records {
+			x.Forget(u.ID)
+		}
+		// Attempts that were canceled end on their own goroutines.
+		for x.Open() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	return tr
+}
+
+// upstream adds a stand-in; handle may be nil for one that answers with its records.
+func (tr *tier) upstream(t *testing.T, service, id, records string, handle http.HandlerFunc) {
+	t.Helper()
+	runs := &atomic.Int64{}
+	tr.runs.Store(id, runs)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		if handle != nil {
+			handle(w, r)
+			return
+		}
+		w.Header().Set("X-Proof", "proof-"+id)
+		_, _ = io.WriteString(w, records)
+	}))
+	t.Cleanup(s.Close)
+	tr.records = append(tr.records, carobbend.UpstreamRecord{
+		ID: carobbend.UpstreamID(id), Service: service, Address: s.Listener.Addr().String(),
+	})
+	tr.fleet.Update(tr.records)
+}
+
+func (tr *tier) runsOf(id string) int64 {
+	v, _ := tr.runs.Load(id)
+	n, _ := v.(*atomic.Int64)
+	return n.Load()
+}
+
+func (tr *tier) route(r carobbend.Route) {
+	tr.routing.Version++
+	tr.routing.Routes = append(tr.routing.Routes, r)
+	copied := tr.routing
+	tr.router.Apply(&copied)
+}
+
+// call sends a request to host "h" and returns status, headers and body.
+func (tr *tier) call(t *testing.T, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, tr.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Id", "req-1")
+	r.Header.Set("X-Left", "3000")
+	resp, err := tr.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(b)
+}
+
+func record(s string) string { return fmt.Sprintf("%-16s", s) }
+
+func search(shards ...string) carobbend.Route {
+	return carobbend.Route{
+		Name: "search", Host: "h", Prefix: "/s/", Repeatable: true, Attempts: 2, Shards: shards, Records: 3,
+		MinCoverage: 0.6, Target: 300 * time.Millisecond, Timeout: 2 * time.Second,
+	}
+}
+
+func order(service string, repeatable bool) carobbend.Route {
+	return carobbend.Route{
+		Name: "order", Host: "h", Prefix: "/o/", Repeatable: repeatable, Attempts: 2, Timeout: 2 * time.Second,
+		Target: 200 * time.Millisecond, Split: []carobbend.WeightedService{{Service: service, Weight: 1}},
+	}
+}
+
+func TestCombinedAnswer(t *testing.T) {
+	tr := newTier(t)
+	tr.upstream(t, "a", "a1", record("b")+record("e")+"rest", nil)
+	tr.upstream(t, "b", "b1", record("a")+record("d"), nil)
+	tr.upstream(t, "c", "c1", record("c"), nil)
+	tr.route(search("a", "b", "c"))
+	resp, body := tr.call(t, "GET", "/s/1", "")
+	if want := record("e") + record("d") + record("c"); resp.StatusCode != 200 || body != want {
+		t.Errorf("got %d %q, want 200 %q", resp.StatusCode, body, want)
+	}
+	if got := resp.Header.Get("X-Missing"); got != "0" {
+		t.Errorf("missing: got %q, want 0", got)
+	}
+	if got := resp.Header.Get("X-Proofs"); got != "proof-a1, proof-b1, proof-c1" {
+		t.Errorf("proofs: got %q, want those of all shards", got)
+	}
+}
+
+// TestCoverageIsTrue guards against counting shards whose reply is a failure, unproved or encoded.
+func TestCoverageIsTrue(t *testing.T) {
+	for name, handle := range map[string]http.HandlerFunc{
+		"failure with a proof": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Proof", "p")
+			w.WriteHeader(500)
+		},
+		"success without a proof": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, record("z")) },
+		"encoded": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Proof", "p")
+			w.Header().Set("Content-Encoding", "gzip")
+			_, _ = io.WriteString(w, record("z"))
+		},
+		"another request's": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Id", "other")
+			w.Header().Set("X-Proof", "p")
+			_, _ = io.WriteString(w, record("z"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := newTier(t)
+			tr.upstream(t, "a", "a1", record("b"), nil)
+			tr.upstream(t, "b", "b1", record("a"), nil)
+			tr.upstream(t, "c", "c1", "", handle)
+			tr.route(search("a", "b", "c"))
+			resp, body := tr.call(t, "GET", "/s/1", "")
+			if want := record("b") + record("a"); resp.StatusCode != 200 || body != want || resp.Header.Get("X-Missing") != "1" {
+				t.Errorf("got %d %q missing %q, want 200 %q missing 1", resp.StatusCode, body, resp.Header.Get("X-Missing"), want)
+			}
+		})
+	}
+}
+
+// TestFailedShards guards against an answer below the least coverage and against holding the caller of one.
+func TestFailedShards(t *testing.T) {
+	tr := newTier(t)
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }
+	tr.upstream(t, "a", "a1", record("b"), nil)
+	tr.upstream(t, "b", "b1", "", fail)
+	tr.upstream(t, "c", "c1", "", fail)
+	tr.route(search("a", "b", "c"))
+	resp, _ := tr.call(t, "GET", "/s/1", "")
+	// The end of the route's time would be 504.
+	if resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("status: got %d, want 502, since attempts ran", resp.StatusCode)
+	}
+}
+
+// TestNothingRan guards against a refusal without the promise that nothing ran, and one that comes late.
+func TestNothingRan(t *testing.T) {
+	tr := newTier(t)
+	tr.upstream(t, "a", "a1", record("b"), nil)
+	tr.route(search("a", "b", "c"))
+	resp, _ := tr.call(t, "GET", "/s/1", "")
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %d, Retry-After %q, want 503 with a time", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if got := tr.runsOf("a1"); got != 0 {
+		t.Errorf("runs: got %d, want 0 where coverage can't be reached", got)
+	}
+}
+
+// TestRunsOnce guards against a second run of a request that may run once.
+func TestRunsOnce(t *testing.T) {
+	hang := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(400 * time.Millisecond)
+		w.Header().Set("X-Proof", "p")
+	}
+	drop := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	notRun := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(503)
+	}
+	fail := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Proof", "p")
+		w.WriteHeader(500)
+	}
+	for _, c := range []struct {
+		name       string
+		handle     http.HandlerFunc
+		repeatable bool
+		status     int
+		runs       int64
+	}{
+		{"slow, once", hang, false, 200, 1},
+		{"slow, repeatable", hang, true, 200, 2},
+		{"connection lost, once", drop, false, 502, 1},
+		{"connection lost, repeatable", drop, true, 502, 2},
+		{"failure, once", fail, false, 500, 1},
+		{"failure, repeatable", fail, true, 500, 2},
+		{"not run, once", notRun, false, 503, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tr := newTier(t)
+			tr.upstream(t, "a", "a1", "", c.handle)
+			tr.upstream(t, "a", "a2", "", c.handle)
+			tr.route(order("a", c.repeatable))
+			resp, _ := tr.call(t, "POST", "/o/1", "body")
+			if resp.StatusCode != c.status {
+				t.Errorf("status: got %d, want %d", resp.StatusCode, c.status)
+			}
+			if got := tr.runsOf("a1") + tr.runsOf("a2"); got != c.runs {
+				t.Errorf("upstreams asked: got %d, want %d", got, c.runs)
+			}
+		})
+	}
+}
+
+// TestPassedOn guards against changes to what callers and upstreams say to each other.
+func TestPassedOn(t *testing.T) {
+	tr := newTier(t)
+	var seen struct {
+		uri, host, id, body, own, hop string
+	}
+	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		seen.uri, seen.host, seen.id, seen.body = r.RequestURI, r.Host, r.Header.Get("X-Id"), string(b)
+		seen.own, seen.hop = r.Header.Get("X-Own"), r.Header.Get("X-Hop")
+		w.Header().Set("X-Proof", "p1")
+		w.Header().Set("X-Answer", "yes")
+		w.WriteHeader(201)
+		_, _ = w.Write([]byte{0, 1, 2, 255})
+	})
+	tr.route(order("a", false))
+	r, err := http.NewRequestWithContext(t.Context(), "PUT", tr.URL+"/o/a%2Fb//../c?x=%20&y", struct{ io.Reader }{strings.NewReader("some body")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "H:80"
+	for k, v := range map[string]string{"X-Id": "i1", "X-Left": "900", "X-Own": "1", "X-Hop": "2", "Connection": "x-hop"} {
+		r.Header.Set(k, v)
+	}
+	resp, err := tr.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if seen.uri != "/o/a%2Fb//../c?x=%20&y" || seen.host != "H:80" || seen.id != "i1" || seen.body != "some body" {
+		t.Errorf("upstream got %+v, want target, host, id and body unchanged", seen)
+	}
+	if seen.own != "1" || seen.hop != "" {
+		t.Errorf("headers: got own %q, hop-by-hop %q, want the first alone", seen.own, seen.hop)
+	}
+	if resp.StatusCode != 201 || !bytes.Equal(body, []byte{0, 1, 2, 255}) || resp.Header.Get("X-Proof") != "p1" || resp.Header.Get("X-Answer") != "yes" {
+		t.Errorf("caller got %d %v %v, want the upstream's answer", resp.StatusCode, body, resp.Header)
+	}
+}
+
+// TestOwnStatuses lists the answers that this instance gives by itself.
+func TestOwnStatuses(t *testing.T) {
+	tr := newTier(t)
+	resp, _ := tr.call(t, "GET", "/o/1", "")
+	if resp.StatusCode != 503 {
+		t.Errorf("without a routing: got %d, want 503, since 404 would deny what is allowed", resp.StatusCode)
+	}
+	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	tr.routing.Limits.BodyBytes = 10
+	tr.route(order("a", false))
+	if resp, _ := tr.call(t, "GET", "/none", ""); resp.StatusCode != 404 {
+		t.Errorf("without a route: got %d, want 404", resp.StatusCode)
+	}
+	if resp, _ := tr.call(t, "POST", "/o/1", "longer than that"); resp.StatusCode != 413 {
+		t.Errorf("with a long body: got %d, want 413", resp.StatusCode)
+	}
+	if got := tr.runsOf("a1"); got != 0 {
+		t.Errorf("runs: got %d, want 0", got)
+	}
+	tr.Refuse()
+	tr.Drain()
+	if resp, _ := tr.call(t, "GET", "/o/1", ""); resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("while stopping: got %d, close %v, want 503 and a closing connection", resp.StatusCode, resp.Close)
+	}
+}
+
+// TestCallerLeaves guards against upstreams that work on for a caller who has gone.
+func TestCallerLeaves(t *testing.T) {
+	tr := newTier(t)
+	arrived, left := make(chan struct{}), make(chan struct{})
+	tr.upstream(t, "a", "a1", "", func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+		close(left)
+	})
+	tr.route(order("a", false))
+	c, err := net.Dial("tcp4", tr.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, "GET /o/1 HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nX-Left: 5000\r\n\r\n")
+	<-arrived
+	c.Close()
+	<-left
+}
+
+// TestTimeout guards against callers who are held longer than the route allows.
+func TestTimeout(t *testing.T) {
+	tr := newTier(t)
+	left := make(chan struct{})
+	tr.upstream(t, "a", "a1", "", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(left)
+	})
+	r := order("a", false)
+	r.Timeout = 100 * time.Millisecond
+	tr.route(r)
+	resp, _ := tr.call(t, "GET", "/o/1", "")
+	if resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status: got %d, want 504", resp.StatusCode)
+	}
+	<-left
+}
+
+// TestSplitOfPartWithoutUpstreams guards against moving the requests of a part that is short of upstreams to another.
+func TestSplitOfPartWithoutUpstreams(t *testing.T) {
+	tr := newTier(t)
+	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Proof", "p") })
+	r := order("a", true)
+	r.Split = append(r.Split, carobbend.WeightedService{Service: "b", Weight: 1})
+	tr.route(r)
+	got := map[int]int{}
+	for range 10 {
+		resp, _ := tr.call(t, "GET", "/o/1", "")
+		got[resp.StatusCode]++
+	}
+	if got[200] != 5 || got[503] != 5 {
+		t.Errorf("statuses: got %v, want 5 times 200 and 5 times 503", got)
+	}
+}
+
+func TestFleetUpdate(t *testing.T) {
+	var f Fleet
+	up := func(id string, born int64, leaving bool) carobbend.UpstreamRecord {
+		return carobbend.UpstreamRecord{ID: carobbend.UpstreamID(id), Service: "s", Address: "127.0.0.1:1", Born: born, Leaving: leaving}
+	}
+	f.Update([]carobbend.UpstreamRecord{up("a", 1, false), up("b", 1, false), up("c", 1, false)})
+	c := f.Update([]carobbend.UpstreamRecord{up("a", 2, false), up("b", 1, true), up("d", 1, false)})
+	if len(c.Joined) != 2 || c.Joined[0].ID != "a" || c.Joined[1].ID != "d" {
+		t.Errorf("joined: got %v, want a, which is a new process, and d", c.Joined)
+	}
+	if len(c.Leaving) != 1 || c.Leaving[0].ID != "b" || len(c.Left) != 1 || c.Left[0].ID != "c" {
+		t.Errorf("got leaving %v, left %v, want b and c", c.Leaving, c.Left)
+	}
+	if got := f.Candidates("s"); len(got) != 2 {
+		t.Errorf("candidates: got %v, want a and d", got)
+	}
+}
--- /dev/null
+++ b/steerer/steerer_test.go
@@ -0,0 +1,101 @@
+package steerer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+func instance(name, dc string, capacity float64) carobbend.Instance {
+	return carobbend.Instance{Name: name, DataCentre: carobbend.DataCentre(dc), CallerAddress: name + ":1", Capacity: capacity}
+}
+
+func listOf(xs ...carobbend.Instance) map[string]carobbend.Instance {
+	m := map[string]carobbend.Instance{}
+	for _, x := range xs {
+		m[x.Name] = x
+	}
+	return m
+}
+
+func TestAddresses(t *testing.T) {
+	a1, a2, b1 := instance("a1", "a", 1), instance("a2", "a", 1), instance("b1", "b", 1)
+	leaving := instance("a3", "a", 1)
+	leaving.Leaving = true
+	for _, c := range []struct {
+		name  string
+		ready bool
+		list  map[string]carobbend.Instance
+		dc    carobbend.DataCentre
+		want  []string
+	}{
+		{"two are near", true, listOf(a1, a2, b1, leaving), "a", []string{"a1:1", "a2:1"}},
+		{"one is near", true, listOf(a1, a2, b1), "b", []string{"a1:1", "a2:1", "b1:1"}},
+		{"own entry lapsed", true, listOf(b1), "c", []string{"a1:1", "b1:1"}},
+		{"leaving itself", false, listOf(a1, a2, b1), "c", []string{"a2:1", "b1:1"}},
+		{"none is known", false, nil, "a", nil},
+	} {
+		var s Steerer
+		s.SetSelf(a1, c.ready)
+		s.Update(c.list)
+		got, ok := s.Addresses(c.dc)
+		if !slices.Equal(got.Addresses, c.want) || ok != (c.want != nil) {
+			t.Errorf("%s: got %v, %v, want %v", c.name, got.Addresses, ok, c.want)
+		}
+	}
+}
+
+func TestAddressBound(t *testing.T) {
+	var s Steerer
+	m := map[string]carobbend.Instance{}
+	for i := range 200 {
+		x := instance(fmt.Sprintf("x%03d", i), "b", 1)
+		m[x.Name] = x
+	}
+	s.Update(m)
+	if got, _ := s.Addresses("a"); len(got.Addresses) != maxAddresses {
+		t.Errorf("got %d addresses, want %d", len(got.Addresses), maxAddresses)
+	}
+}
+
+// TestReserve guards against a fleet of small instances in which each follows the whole store and learns little.
+func TestReserve(t *testing.T) {
+	small := instance("small", "a", 0.2)
+	var large, mixed []carobbend.Instance
+	for i := range 6 {
+		large = append(large, instance(fmt.Sprint("l", i), "a", 0.8))
+		mixed = append(mixed, instance(fmt.Sprint("m", i), "a", 0.2))
+	}
+	busy := slices.Clone(large)
+	for i := range 4 {
+		busy[i].Busy = true
+	}
+	for _, c := range []struct {
+		name string
+		self carobbend.Instance
+		list map[string]carobbend.Instance
+		want Need
+	}{
+		{"a large one always serves", large[0], listOf(large[1:]...), NeedNow},
+		{"large ones suffice", small, listOf(large...), NeedNone},
+		{"too few instances", small, listOf(large[:3]...), NeedNow},
+		{"too little capacity", small, listOf(mixed...), NeedNow},
+		{"nobody serves", small, nil, NeedNow},
+		{"most are busy", small, listOf(busy...), NeedMore},
+		{"enrolled already", small, listOf(append(slices.Clone(large), small)...), NeedNow},
+		{"capacity unknown", instance("u", "a", 0), listOf(large...), NeedNow},
+	} {
+		if got := NeedOf(c.self, c.list); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+	if got := Delay(large[0], NeedNow, 0.5); got != 0 {
+		t.Errorf("delay of a large instance: got %v, want 0", got)
+	}
+	if got := Delay(small, NeedNow, 0.5); got < time.Second || got > 4*time.Second {
+		t.Errorf("delay of a small instance: got %v, want seconds for the large ones to come first", got)
+	}
+}
