Mend three parts that failed for a new user

Cause: 'rules apply' without USER failed with 'got name ""' and didn't name the flag; a rule file with a byte order mark was refused; a request whose body never came was told after 30 s with the connection's addresses and an empty request id.

Settings of 'forward' are tested key by key.

--- a/cmd/carobbend/instance.go
+++ b/cmd/carobbend/instance.go
@@ -160,7 +160,8 @@
 func (x *instance) serverConfig() server.Config {
 	cfg := x.cfg
 	c := server.Config{
-		AdminToken: cfg.Admin.Token, Queries: x.data.executor, Operations: x.dispatcher, Rules: x.rules, Members: x.links,
+		RequestTimeout: x.cfg.Listen.RequestTimeout,
+		AdminToken:     cfg.Admin.Token, Queries: x.data.executor, Operations: x.dispatcher, Rules: x.rules, Members: x.links,
 		Gate: x.data.gate, Recorder: x.meter, Shards: x.data.shards, Metrics: x.meter.Handler(),
 		InForce: x.rules.Ready, Ready: x.nameable, Announce: x.announce, Status: x.status, Traces: x.data.traces,
 		Drain: server.DrainTimes{
--- a/cmd/carobbend/rules_apply.go
+++ b/cmd/carobbend/rules_apply.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/user"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -21,13 +22,19 @@
 	storeFlags    `embed:""`
 	instanceFlags `embed:""`
 	From          *uint64       `help:"Version that the file was edited from; by default the version line of the file, or 0 without one."`
-	Who           string        `env:"USER" help:"Name for the audit trail."`
+	Who           string        `env:"USER" help:"Name for the audit trail; by default the user who runs the command."`
 	Wait          time.Duration `default:"5s" help:"Time to find out what became of a lost reply, and to wait until the version is in force on all live instances."`
 	Watch         bool          `help:"Apply the file again each time it is saved, until interrupted."`
 }
 
 // Run applies the file.
 func (c *rulesApplyCmd) Run() error {
+	if c.Who == "" {
+		c.Who = currentUser()
+	}
+	if c.Who == "" {
+		return &exitError{exitUsage, errors.New("got no name for the audit trail, expected --who NAME")}
+	}
 	ctx, cancel := interruptible()
 	defer cancel()
 	store, err := c.client()
@@ -52,6 +59,15 @@
 	return a.out.err
 }
 
+// currentUser returns the user of the process, or "" where the system knows no name.
+func currentUser() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return u.Username
+}
+
 type applier struct {
 	cmd   *rulesApplyCmd
 	store carobbend.Store
--- a/cmd/carobbend/rules_test.go
+++ b/cmd/carobbend/rules_test.go
@@ -181,3 +181,25 @@
 		}
 	}
 }
+
+// TestApplyNeedsNoVariable guards against a README line that fails where USER isn't set.
+func TestApplyNeedsNoVariable(t *testing.T) {
+	t.Setenv("USER", "")
+	store, list := httptest.NewServer(emulator.NewStore()), httptest.NewServer(emulator.NewList())
+	defer store.Close()
+	defer list.Close()
+	file := filepath.Join(t.TempDir(), "rules")
+	if err := os.WriteFile(file, []byte("share leon 2 # asked by the consortium\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, out := command(t, "rules", "apply", file, "--store", store.URL, "--list", list.URL, "--admin-token", "change-me-admin", "--wait", "1ms")
+	if currentUser() == "" {
+		if code != exitUsage || !strings.Contains(out, "--who NAME") {
+			t.Errorf("without a user: got %d %s, want a usage error that names --who", code, out)
+		}
+		return
+	}
+	if !strings.Contains(out, "in-force") && !strings.Contains(out, "in force") {
+		t.Errorf("got %d %s, want the file in force", code, out)
+	}
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -112,6 +112,8 @@
 
 // Parse checks a rule file; file is used in errors only. The error is an *Error with all problems of the text.
 func Parse(file, text string) (*Ruleset, error) {
+	// Some editors write a byte order mark.
+	text = strings.TrimPrefix(text, "\ufeff")
 	p := &parse{rules: newRuleset(text), first: true}
 	if len(text) > MaxFileBytes {
 		p.problem(token{line: 1, column: 1, text: strconv.Itoa(len(text)) + " bytes"},
--- /dev/null
+++ b/server/body_test.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestBodyNeverComes guards against a reply that names addresses of the connection, an empty request id, and a bound
+// that settings can't change.
+func TestBodyNeverComes(t *testing.T) {
+	s, _ := newTestServer(t)
+	cfg := s.cfg
+	cfg.RequestTimeout = 50 * time.Millisecond
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.callerHTTP.Serve(l) }()
+	defer s.callerHTTP.Close()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /v1/query HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer token-one\r\nContent-Length: 100\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusRequestTimeout || !strings.Contains(string(b), "didn't arrive in time") || strings.Contains(string(b), "127.0.0.1") {
+		t.Errorf("got %d %s, want 408 with what is missing and no address", resp.StatusCode, b)
+	}
+	if _, ok := resp.Header["X-Request-Id"]; ok {
+		t.Error("got a request id, want none where the caller sent none")
+	}
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -71,7 +72,9 @@
 		if len(id) > carobbend.MaxRequestID || strings.ContainsFunc(id, func(r rune) bool { return r < ' ' || r > '~' }) {
 			return badRequest("%s: expected at most %d printable ASCII characters", carobbend.HeaderRequestID, carobbend.MaxRequestID)
 		}
-		c.Response().Header().Set(carobbend.HeaderRequestID, id)
+		if id != "" {
+			c.Response().Header().Set(carobbend.HeaderRequestID, id)
+		}
 		return next(c)
 	}
 }
@@ -128,7 +131,16 @@
 	if errors.As(err, &tooLarge) {
 		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, fmt.Sprintf("body: expected at most %d bytes", limit))
 	}
-	return badRequest("body: %v", err)
+	var ne net.Error
+	switch {
+	case errors.As(err, &ne):
+		// The error of the connection names its addresses.
+		return echo.NewHTTPError(http.StatusRequestTimeout, "body: expected a JSON object, which didn't arrive in time")
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return badRequest("body: expected a JSON object, got one that is empty or ends early")
+	default:
+		return badRequest("body: %v", err)
+	}
 }
 
 func deadlineOf(ms float64) (time.Duration, error) {
--- a/server/server.go
+++ b/server/server.go
@@ -78,6 +78,8 @@
 	// Traces records queries for POST and GET /v1/traces; nil serves 404.
 	Traces *replayer.Tracer
 	Drain  DrainTimes
+	// RequestTimeout bounds the time for reading a request with its body; 0 means 30 s.
+	RequestTimeout time.Duration
 }
 
 // Server serves callers and administrators until it is drained.
@@ -119,6 +121,10 @@
 		begin: make(chan struct{}), log: logger.New("server"),
 	}
 	s.callerHTTP = newHTTP(s.callerRoutes())
+	if cfg.RequestTimeout > 0 {
+		s.callerHTTP.ReadTimeout = cfg.RequestTimeout
+		s.callerHTTP.ReadHeaderTimeout = min(cfg.RequestTimeout, readHeaderTimeout)
+	}
 	s.callerHTTP.ConnState = s.conns.connState
 	s.adminHTTP = newHTTP(s.adminRoutes())
 	return s, nil
--- /dev/null
+++ b/settings/forward_test.go
@@ -0,0 +1,58 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const forwardFile = `instance: edge-1
+data-centre: leon
+listen:
+  callers: 127.0.0.1:7100
+  readiness: 127.0.0.1:7101
+  addresses: 127.0.0.1:7102
+store: 127.0.0.1:8500
+cores: 0.4
+extra-load:
+  ratio: 0.2
+  slack: 52
+`
+
+func TestForward(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		old, new string
+		key      string
+		line     int
+	}{
+		{"valid", "", "", "", 0},
+		{"unknown key", "cores:", "colours:", "", 8},
+		{"wrong type", "slack: 52", "slack: many", "", 11},
+		{"missing", "instance: edge-1", "instance: \"\"", "instance", 1},
+		{"name in place of an address", "127.0.0.1:8500", "store.example:80", "store", 7},
+		{"out of range", "ratio: 0.2", "ratio: 2", "extra-load.ratio", 10},
+		{"negative", "cores: 0.4", "cores: -1", "cores", 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "f.yaml")
+			if err := os.WriteFile(file, []byte(strings.Replace(forwardFile, c.old, c.new, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			got, err := LoadForward(file)
+			if c.line == 0 {
+				if err != nil || got.Lease != 2500*time.Millisecond || got.StopGrace != 6*time.Second {
+					t.Errorf("got %+v, %v, want the defaults", got, err)
+				}
+				return
+			}
+			var e *Error
+			if !errors.As(err, &e) || e.Line != c.line || e.Key != c.key {
+				t.Errorf("got %v, want an error at line %d, key %q", err, c.line, c.key)
+			}
+		})
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -49,6 +49,8 @@
 	Callers string `yaml:"callers" validate:"required,ip_port"`
 	Admin   string `yaml:"admin" validate:"required,ip_port"`
 	Peers   string `yaml:"peers" validate:"required,ip_port"`
+	// RequestTimeout bounds the time for reading a request with its body.
+	RequestTimeout time.Duration `yaml:"request-timeout" validate:"gte=0"`
 }
 
 // Admin configures the administration listener.
@@ -157,6 +159,7 @@
 	DefaultQueueLength         = 64
 	DefaultQueueConcurrency    = 64
 	DefaultAddressValidity     = 10 * time.Second
+	DefaultRequestTimeout      = 30 * time.Second
 	DefaultDrainLimit          = 10 * time.Second
 )
 
@@ -169,6 +172,7 @@
 
 // ApplyDefaults sets the keys that were left out.
 func (s *Settings) ApplyDefaults() {
+	orDefault(&s.Listen.RequestTimeout, DefaultRequestTimeout)
 	orDefault(&s.Store.CallsPerSecond, DefaultStoreCallsPerSecond)
 	orDefault(&s.Store.Timeout, DefaultStoreTimeout)
 	orDefault(&s.InstanceList.Service, DefaultInstanceService)
