Save store calls and bytes between data centres

Change: instances in reserve read the list 1.5 to 3 s after their start, watch for 30 s and back off up to 8 s; changes gather for 300 ms; distance factor 2.5.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -29,7 +29,7 @@
 	// callers count but that never reach an instance.
 	extraLoadPart = 0.85
 	// farFactor scales the score of upstreams in other data centres; bytes between data centres are paid for.
-	farFactor = 1.6
+	farFactor = 2.5
 	// forgetTime is the time constant with which a raised latency of an unused upstream returns to its baseline.
 	forgetTime = time.Second
 	// memoryPart is the part of the memory that the runtime may use before it collects garbage more often.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -31,17 +31,20 @@
 	watchWait = 5 * time.Second
 	// reserveWait and reserveCollect take the place of watchWait and collect while only the list of instances is followed:
 	// an instance in reserve has time, and there may be many.
-	reserveWait    = 25 * time.Second
-	reserveCollect = time.Second
+	reserveWait    = 30 * time.Second
+	reserveCollect = 2 * time.Second
 	// watchSlack is the time that a watch may take beyond its wait.
 	watchSlack = 1500 * time.Millisecond
 	// listTimeout bounds the reading of everything.
 	listTimeout = 2 * time.Second
 	// collect is the pause after changes, in which further ones gather for the next call.
-	collect = 150 * time.Millisecond
-	// firstBackOff and lastBackOff bound the pause after a failed call.
-	firstBackOff = 100 * time.Millisecond
-	lastBackOff  = time.Second
+	collect = 300 * time.Millisecond
+	// firstBackOff and lastBackOff bound the pause after a failed call, reserveBackOff that of an instance in reserve.
+	firstBackOff   = 100 * time.Millisecond
+	lastBackOff    = time.Second
+	reserveBackOff = 8 * time.Second
+	// reserveStart is the time after the start in which larger instances enrol, so that one in reserve reads a full list.
+	reserveStart = 3 * time.Second
 )
 
 // Handlers receive what changed; they are called one at a time.
@@ -97,6 +100,9 @@
 
 // Run follows the feed until ctx ends, and returns its error.
 func (f *Follower) Run(ctx context.Context) error {
+	if carobbend.FeedScope(f.wanted.Load()) == carobbend.ScopeInstances {
+		sleeper.Sleep(ctx, reserveStart/2+rand.N(reserveStart/2))
+	}
 	for ctx.Err() == nil {
 		changed, err := f.step(ctx)
 		switch {
@@ -258,7 +264,11 @@
 		f.instances.Lost(now)
 		f.log.Error(err, "store lost", "revision", f.revision)
 	}
-	d := min(firstBackOff<<min(f.failures-1, 10), lastBackOff)
+	longest := lastBackOff
+	if f.scope == carobbend.ScopeInstances {
+		longest = reserveBackOff
+	}
+	d := min(firstBackOff<<min(f.failures-1, 10), longest)
 	return d/2 + rand.N(d/2)
 }
 
