End instances in reserve at once when they are stopped

Cause: an instance in reserve waited 3.9 s for callers that never knew it.

Failed try, reverted: opening a connection to each new upstream in advance.

--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -134,6 +134,10 @@
 			x.log.Error(err, "withdrawal failed, the lease will end")
 		}
 	}()
+	if !x.active.Load() {
+		// No caller was told this address.
+		return
+	}
 	time.Sleep(time.Duration(acceptPart * float64(grace)))
 	x.forwarder.Refuse()
 	for time.Since(start) < time.Duration(exitPart*float64(grace)) && x.forwarder.InFlight() > 0 {
