Make the new packages pass the linter

Change: exchanger reads a reply into a value of its own; tests check or log what they close. No assertion was changed.

--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -223,25 +223,23 @@
 func (a *Attempt) read(c *conn, r *Request) (*Reply, bool, error) {
 	clean := true
 	for range maxSkipped + 1 {
-		resp, body, err := readReply(c.r, r.Method)
+		m, err := readMessage(c.r, r.Method)
 		if err != nil {
 			return nil, false, a.fail("read reply", carobbend.FailureBroken, err)
 		}
-		if resp.StatusCode < http.StatusOK {
+		if m.status < http.StatusOK {
 			continue
 		}
-		if id := resp.Header.Get(a.x.headers.RequestID); id != "" && id != r.ID {
+		if id := m.header.Get(a.x.headers.RequestID); id != "" && id != r.ID {
 			clean = false
 			continue
 		}
-		reply := &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}
-		reply.NotRun = resp.Header.Get(a.x.headers.NotRun) != "" || resp.StatusCode == StatusMisdirected
-		reply.Load, reply.HasLoad = parseLoad(resp.Header.Get(a.x.headers.Load))
-		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		reusable := clean && framed && !resp.Close && c.r.Buffered() == 0
+		reply := &Reply{Status: m.status, Header: m.header, Body: m.body}
+		reply.NotRun = m.header.Get(a.x.headers.NotRun) != "" || m.status == StatusMisdirected
+		reply.Load, reply.HasLoad = parseLoad(m.header.Get(a.x.headers.Load))
+		reusable := clean && m.reusable && c.r.Buffered() == 0
 		if reusable {
-			c.used = true
-			c.idleUntil = time.Now().Add(idleTime(resp.Header.Get("Keep-Alive")))
+			c.idleUntil = time.Now().Add(idleTime(m.header.Get("Keep-Alive")))
 		}
 		return reply, reusable, nil
 	}
@@ -253,16 +251,27 @@
 	errLongReply    = errors.New("the reply is longer than allowed")
 )
 
-// readReply reads a reply with its whole body, which is closed in the reply that it returns.
-func readReply(r *bufio.Reader, method string) (*http.Response, []byte, error) {
+// message is a reply as it was read.
+type message struct {
+	status int
+	header http.Header
+	body   []byte
+	// reusable says that the connection stays open after it.
+	reusable bool
+}
+
+// readMessage reads a reply with its whole body.
+func readMessage(r *bufio.Reader, method string) (message, error) {
 	resp, err := http.ReadResponse(r, &http.Request{Method: method})
 	if err != nil {
-		return nil, nil, err
+		return message{}, err
 	}
 	// The body is read to its end, so closing it can't fail.
 	defer func() { _ = resp.Body.Close() }()
-	body, err := readBody(resp)
-	return resp, body, err
+	m := message{status: resp.StatusCode, header: resp.Header}
+	m.reusable = !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+	m.body, err = readBody(resp)
+	return m, err
 }
 
 func readBody(resp *http.Response) ([]byte, error) {
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -48,7 +49,7 @@
 			}
 			u.conns.Add(1)
 			go func() {
-				defer c.Close()
+				defer closeAll(t, c)
 				br := bufio.NewReader(c)
 				for n := 0; ; n++ {
 					r, err := http.ReadRequest(br)
@@ -67,12 +68,25 @@
 		}
 	}()
 	t.Cleanup(func() {
-		l.Close()
+		closeAll(t, l)
 		<-done
 	})
 	return u
 }
 
+// closeAll closes what a test opened; a second close is no failure.
+func closeAll(t testing.TB, cs ...io.Closer) {
+	t.Helper()
+	for _, c := range cs {
+		if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			t.Log(err)
+		}
+	}
+}
+
+// send writes a reply; where the other end is gone, the test sees it there.
+func send(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
+
 func (u *upstream) target() Target {
 	return Target{ID: "up-1", Address: u.Addr().String(), MaxConns: 2}
 }
@@ -93,7 +107,7 @@
 }
 
 func reply(w io.Writer, r *http.Request, status int, body string, headers ...string) {
-	fmt.Fprintf(w, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+	send(w, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		status, r.Header.Get("X-Id"), strings.Join(headers, ""), len(body), body)
 }
 
@@ -127,7 +141,7 @@
 // TestForeignReply guards against taking the late reply to an earlier request for one's own.
 func TestForeignReply(t *testing.T) {
 	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
-		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong")
+		send(w, "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong")
 		reply(w, r, 200, "right")
 		return true
 	})
@@ -182,7 +196,7 @@
 					return true
 				}
 				runs.Add(1)
-				fmt.Fprint(w, c.reply)
+				send(w, "%s", c.reply)
 				return false
 			})
 			x := newExchanger(t)
@@ -237,7 +251,7 @@
 
 func TestNoListener(t *testing.T) {
 	u := serve(t, func(io.Writer, *http.Request, int) bool { return false })
-	u.Close()
+	closeAll(t, u)
 	_, err := do(newExchanger(t), u, request("r"))
 	if got := KindOf(err); got != carobbend.FailureNotSent {
 		t.Errorf("got %q (%v), want not-sent", got, err)
@@ -279,7 +293,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer closeAll(t, l)
 	var conns atomic.Int64
 	go func() {
 		for {
@@ -290,9 +304,9 @@
 			conns.Add(1)
 			// The head is read and the body isn't.
 			if _, err := c.Read(make([]byte, 100)); err == nil {
-				fmt.Fprint(c, "HTTP/1.1 413 X\r\nX-Id: r\r\nContent-Length: 0\r\n\r\n")
+				send(c, "HTTP/1.1 413 X\r\nX-Id: r\r\nContent-Length: 0\r\n\r\n")
 			}
-			defer c.Close()
+			defer closeAll(t, c)
 		}
 	}()
 	x := newExchanger(t)
@@ -367,7 +381,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer l.Close()
+	defer closeAll(b, l)
 	body := strings.Repeat("x", 200)
 	answer := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Load: 1,0,3\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 	go func() {
@@ -377,7 +391,7 @@
 				return
 			}
 			go func() {
-				defer c.Close()
+				defer closeAll(b, c)
 				buf := make([]byte, 4096)
 				for {
 					if _, err := c.Read(buf); err != nil {
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -35,7 +35,6 @@
 	pool *pool
 	// idleUntil is the time after which it isn't used again.
 	idleUntil time.Time
-	used      bool
 	closed    sync.Once
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -102,8 +102,15 @@
 	tr.router.Apply(&copied)
 }
 
-// call sends a request to host "h" and returns status, headers and body.
-func (tr *tier) call(t *testing.T, method, path, body string) (*http.Response, string) {
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	close  bool
+}
+
+// call sends a request to host "h" and returns the answer and its body.
+func (tr *tier) call(t *testing.T, method, path, body string) (answer, string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -118,12 +125,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Body.Close()
+	defer closeBody(t, resp)
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return resp, string(b)
+	return answer{resp.StatusCode, resp.Header, resp.Close}, string(b)
+}
+
+func closeBody(t *testing.T, resp *http.Response) {
+	t.Helper()
+	if err := resp.Body.Close(); err != nil {
+		t.Log(err)
+	}
 }
 
 func record(s string) string { return fmt.Sprintf("%-16s", s) }
@@ -135,10 +149,10 @@
 	}
 }
 
-func order(service string, repeatable bool) carobbend.Route {
+func order(repeatable bool) carobbend.Route {
 	return carobbend.Route{
 		Name: "order", Host: "h", Prefix: "/o/", Repeatable: repeatable, Attempts: 2, Timeout: 2 * time.Second,
-		Target: 200 * time.Millisecond, Split: []carobbend.WeightedService{{Service: service, Weight: 1}},
+		Target: 200 * time.Millisecond, Split: []carobbend.WeightedService{{Service: "a", Weight: 1}},
 	}
 }
 
@@ -149,13 +163,13 @@
 	tr.upstream(t, "c", "c1", record("c"), nil)
 	tr.route(search("a", "b", "c"))
 	resp, body := tr.call(t, "GET", "/s/1", "")
-	if want := record("e") + record("d") + record("c"); resp.StatusCode != 200 || body != want {
-		t.Errorf("got %d %q, want 200 %q", resp.StatusCode, body, want)
+	if want := record("e") + record("d") + record("c"); resp.status != http.StatusOK || body != want {
+		t.Errorf("got %d %q, want 200 %q", resp.status, body, want)
 	}
-	if got := resp.Header.Get("X-Missing"); got != "0" {
+	if got := resp.header.Get("X-Missing"); got != "0" {
 		t.Errorf("missing: got %q, want 0", got)
 	}
-	if got := resp.Header.Get("X-Proofs"); got != "proof-a1, proof-b1, proof-c1" {
+	if got := resp.header.Get("X-Proofs"); got != "proof-a1, proof-b1, proof-c1" {
 		t.Errorf("proofs: got %q, want those of all shards", got)
 	}
 }
@@ -165,7 +179,7 @@
 	for name, handle := range map[string]http.HandlerFunc{
 		"failure with a proof": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Proof", "p")
-			w.WriteHeader(500)
+			w.WriteHeader(http.StatusInternalServerError)
 		},
 		"success without a proof": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, record("z")) },
 		"encoded": func(w http.ResponseWriter, _ *http.Request) {
@@ -186,8 +200,8 @@
 			tr.upstream(t, "c", "c1", "", handle)
 			tr.route(search("a", "b", "c"))
 			resp, body := tr.call(t, "GET", "/s/1", "")
-			if want := record("b") + record("a"); resp.StatusCode != 200 || body != want || resp.Header.Get("X-Missing") != "1" {
-				t.Errorf("got %d %q missing %q, want 200 %q missing 1", resp.StatusCode, body, resp.Header.Get("X-Missing"), want)
+			if want := record("b") + record("a"); resp.status != http.StatusOK || body != want || resp.header.Get("X-Missing") != "1" {
+				t.Errorf("got %d %q missing %q, want 200 %q missing 1", resp.status, body, resp.header.Get("X-Missing"), want)
 			}
 		})
 	}
@@ -196,15 +210,15 @@
 // TestFailedShards guards against an answer below the least coverage and against holding the caller of one.
 func TestFailedShards(t *testing.T) {
 	tr := newTier(t)
-	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
 	tr.upstream(t, "a", "a1", record("b"), nil)
 	tr.upstream(t, "b", "b1", "", fail)
 	tr.upstream(t, "c", "c1", "", fail)
 	tr.route(search("a", "b", "c"))
 	resp, _ := tr.call(t, "GET", "/s/1", "")
 	// The end of the route's time would be 504.
-	if resp.StatusCode != http.StatusBadGateway {
-		t.Errorf("status: got %d, want 502, since attempts ran", resp.StatusCode)
+	if resp.status != http.StatusBadGateway {
+		t.Errorf("status: got %d, want 502, since attempts ran", resp.status)
 	}
 }
 
@@ -214,8 +228,8 @@
 	tr.upstream(t, "a", "a1", record("b"), nil)
 	tr.route(search("a", "b", "c"))
 	resp, _ := tr.call(t, "GET", "/s/1", "")
-	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
-		t.Errorf("got %d, Retry-After %q, want 503 with a time", resp.StatusCode, resp.Header.Get("Retry-After"))
+	if resp.status != http.StatusServiceUnavailable || resp.header.Get("Retry-After") == "" {
+		t.Errorf("got %d, Retry-After %q, want 503 with a time", resp.status, resp.header.Get("Retry-After"))
 	}
 	if got := tr.runsOf("a1"); got != 0 {
 		t.Errorf("runs: got %d, want 0 where coverage can't be reached", got)
@@ -232,11 +246,11 @@
 	drop := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 	notRun := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Not-Run", "1")
-		w.WriteHeader(503)
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	fail := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Proof", "p")
-		w.WriteHeader(500)
+		w.WriteHeader(http.StatusInternalServerError)
 	}
 	for _, c := range []struct {
 		name       string
@@ -245,22 +259,22 @@
 		status     int
 		runs       int64
 	}{
-		{"slow, once", hang, false, 200, 1},
-		{"slow, repeatable", hang, true, 200, 2},
-		{"connection lost, once", drop, false, 502, 1},
-		{"connection lost, repeatable", drop, true, 502, 2},
-		{"failure, once", fail, false, 500, 1},
-		{"failure, repeatable", fail, true, 500, 2},
-		{"not run, once", notRun, false, 503, 2},
+		{"slow, once", hang, false, http.StatusOK, 1},
+		{"slow, repeatable", hang, true, http.StatusOK, 2},
+		{"connection lost, once", drop, false, http.StatusBadGateway, 1},
+		{"connection lost, repeatable", drop, true, http.StatusBadGateway, 2},
+		{"failure, once", fail, false, http.StatusInternalServerError, 1},
+		{"failure, repeatable", fail, true, http.StatusInternalServerError, 2},
+		{"not run, once", notRun, false, http.StatusServiceUnavailable, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			tr := newTier(t)
 			tr.upstream(t, "a", "a1", "", c.handle)
 			tr.upstream(t, "a", "a2", "", c.handle)
-			tr.route(order("a", c.repeatable))
+			tr.route(order(c.repeatable))
 			resp, _ := tr.call(t, "POST", "/o/1", "body")
-			if resp.StatusCode != c.status {
-				t.Errorf("status: got %d, want %d", resp.StatusCode, c.status)
+			if resp.status != c.status {
+				t.Errorf("status: got %d, want %d", resp.status, c.status)
 			}
 			if got := tr.runsOf("a1") + tr.runsOf("a2"); got != c.runs {
 				t.Errorf("upstreams asked: got %d, want %d", got, c.runs)
@@ -281,11 +295,11 @@
 		seen.own, seen.hop = r.Header.Get("X-Own"), r.Header.Get("X-Hop")
 		w.Header().Set("X-Proof", "p1")
 		w.Header().Set("X-Answer", "yes")
-		w.WriteHeader(201)
+		w.WriteHeader(http.StatusCreated)
 		_, _ = w.Write([]byte{0, 1, 2, 255})
 	})
-	tr.route(order("a", false))
-	r, err := http.NewRequestWithContext(t.Context(), "PUT", tr.URL+"/o/a%2Fb//../c?x=%20&y", struct{ io.Reader }{strings.NewReader("some body")})
+	tr.route(order(false))
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, tr.URL+"/o/a%2Fb//../c?x=%20&y", struct{ io.Reader }{strings.NewReader("some body")})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -297,7 +311,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Body.Close()
+	defer closeBody(t, resp)
 	body, _ := io.ReadAll(resp.Body)
 	if seen.uri != "/o/a%2Fb//../c?x=%20&y" || seen.host != "H:80" || seen.id != "i1" || seen.body != "some body" {
 		t.Errorf("upstream got %+v, want target, host, id and body unchanged", seen)
@@ -305,7 +319,7 @@
 	if seen.own != "1" || seen.hop != "" {
 		t.Errorf("headers: got own %q, hop-by-hop %q, want the first alone", seen.own, seen.hop)
 	}
-	if resp.StatusCode != 201 || !bytes.Equal(body, []byte{0, 1, 2, 255}) || resp.Header.Get("X-Proof") != "p1" || resp.Header.Get("X-Answer") != "yes" {
+	if resp.StatusCode != http.StatusCreated || !bytes.Equal(body, []byte{0, 1, 2, 255}) || resp.Header.Get("X-Proof") != "p1" || resp.Header.Get("X-Answer") != "yes" {
 		t.Errorf("caller got %d %v %v, want the upstream's answer", resp.StatusCode, body, resp.Header)
 	}
 }
@@ -314,25 +328,25 @@
 func TestOwnStatuses(t *testing.T) {
 	tr := newTier(t)
 	resp, _ := tr.call(t, "GET", "/o/1", "")
-	if resp.StatusCode != 503 {
-		t.Errorf("without a routing: got %d, want 503, since 404 would deny what is allowed", resp.StatusCode)
+	if resp.status != http.StatusServiceUnavailable {
+		t.Errorf("without a routing: got %d, want 503, since 404 would deny what is allowed", resp.status)
 	}
 	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
 	tr.routing.Limits.BodyBytes = 10
-	tr.route(order("a", false))
-	if resp, _ := tr.call(t, "GET", "/none", ""); resp.StatusCode != 404 {
-		t.Errorf("without a route: got %d, want 404", resp.StatusCode)
+	tr.route(order(false))
+	if resp, _ := tr.call(t, "GET", "/none", ""); resp.status != http.StatusNotFound {
+		t.Errorf("without a route: got %d, want 404", resp.status)
 	}
-	if resp, _ := tr.call(t, "POST", "/o/1", "longer than that"); resp.StatusCode != 413 {
-		t.Errorf("with a long body: got %d, want 413", resp.StatusCode)
+	if resp, _ := tr.call(t, "POST", "/o/1", "longer than that"); resp.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("with a long body: got %d, want 413", resp.status)
 	}
 	if got := tr.runsOf("a1"); got != 0 {
 		t.Errorf("runs: got %d, want 0", got)
 	}
 	tr.Refuse()
 	tr.Drain()
-	if resp, _ := tr.call(t, "GET", "/o/1", ""); resp.StatusCode != 503 || !resp.Close {
-		t.Errorf("while stopping: got %d, close %v, want 503 and a closing connection", resp.StatusCode, resp.Close)
+	if resp, _ := tr.call(t, "GET", "/o/1", ""); resp.status != http.StatusServiceUnavailable || !resp.close {
+		t.Errorf("while stopping: got %d, close %v, want 503 and a closing connection", resp.status, resp.close)
 	}
 }
 
@@ -345,14 +359,19 @@
 		<-r.Context().Done()
 		close(left)
 	})
-	tr.route(order("a", false))
+	tr.route(order(false))
 	c, err := net.Dial("tcp4", tr.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprint(c, "GET /o/1 HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nX-Left: 5000\r\n\r\n")
+	_, err = fmt.Fprint(c, "GET /o/1 HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nX-Left: 5000\r\n\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
 	<-arrived
-	c.Close()
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
 	<-left
 }
 
@@ -364,12 +383,12 @@
 		<-r.Context().Done()
 		close(left)
 	})
-	r := order("a", false)
+	r := order(false)
 	r.Timeout = 100 * time.Millisecond
 	tr.route(r)
 	resp, _ := tr.call(t, "GET", "/o/1", "")
-	if resp.StatusCode != http.StatusGatewayTimeout {
-		t.Errorf("status: got %d, want 504", resp.StatusCode)
+	if resp.status != http.StatusGatewayTimeout {
+		t.Errorf("status: got %d, want 504", resp.status)
 	}
 	<-left
 }
@@ -378,15 +397,15 @@
 func TestSplitOfPartWithoutUpstreams(t *testing.T) {
 	tr := newTier(t)
 	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Proof", "p") })
-	r := order("a", true)
+	r := order(true)
 	r.Split = append(r.Split, carobbend.WeightedService{Service: "b", Weight: 1})
 	tr.route(r)
 	got := map[int]int{}
 	for range 10 {
 		resp, _ := tr.call(t, "GET", "/o/1", "")
-		got[resp.StatusCode]++
+		got[resp.status]++
 	}
-	if got[200] != 5 || got[503] != 5 {
+	if got[http.StatusOK] != 5 || got[http.StatusServiceUnavailable] != 5 {
 		t.Errorf("statuses: got %v, want 5 times 200 and 5 times 503", got)
 	}
 }
--- a/server/body_test.go
+++ b/server/body_test.go
@@ -26,18 +26,21 @@
 		t.Fatal(err)
 	}
 	go func() { _ = s.callerHTTP.Serve(l) }()
-	defer s.callerHTTP.Close()
+	defer func() { _ = s.callerHTTP.Close() }()
 	c, err := net.Dial("tcp4", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	fmt.Fprint(c, "POST /v1/query HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer token-one\r\nContent-Length: 100\r\n\r\n")
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprint(c, "POST /v1/query HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer token-one\r\nContent-Length: 100\r\n\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
 		t.Fatal(err)
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -64,8 +64,9 @@
 // TestReserve guards against a fleet of small instances in which each follows the whole store and learns little.
 func TestReserve(t *testing.T) {
 	small := instance("small", "a", 0.2)
-	var large, mixed []carobbend.Instance
-	for i := range 6 {
+	const count = 6
+	large, mixed := make([]carobbend.Instance, 0, count), make([]carobbend.Instance, 0, count)
+	for i := range count {
 		large = append(large, instance(fmt.Sprint("l", i), "a", 0.8))
 		mixed = append(mixed, instance(fmt.Sprint("m", i), "a", 0.2))
 	}
