Let the gate reckon with the time that queues take

Cause: a simulation of shards at 110% of their capacity (TestTightShards) showed that the gate refused a third of the queries while queues of 140 ms still fitted a target of 150: it took two requests a slot for full, whatever the target.

Change: a shard's outlook is the longer of its smoothed latency and of its reported queue at the usual time of an attempt; it is late if that exceeds the time left.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -28,6 +28,9 @@
 // LeavingBound is the time after which a leaving upstream must receive no new work.
 const LeavingBound = 3 * time.Second
 
+// noOutlook is the latency expected where there is no candidate.
+const noOutlook = time.Hour
+
 // referenceLatency is the latency to which those of requests with a usual latency are scaled.
 const referenceLatency = 20 * time.Millisecond
 
@@ -315,40 +318,28 @@
 	return chosen.id
 }
 
-// Outlook is what a new request may expect of a set of candidates.
-type Outlook struct {
-	// Latency is the expected latency at the fastest candidate.
-	Latency time.Duration
-	// Room says that a candidate has reported no long queue.
-	Room bool
-}
-
-// Outlook returns what a request may expect, for a kind of request whose usual latency is given. Ejected candidates count
-// where there is no other one.
-func (b *Balancer) Outlook(now time.Time, candidates []carobbend.UpstreamID, usual time.Duration) Outlook {
+// Outlook returns the latency that a new request may expect at the best candidate, for a kind of request whose usual
+// latency is given: what the upstream's replies took lately, or what the queue that it reported takes at wait for each
+// request per slot, whichever is longer. Ejected candidates count where there is no other one.
+func (b *Balancer) Outlook(now time.Time, candidates []carobbend.UpstreamID, usual, wait time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	lowest, room := math.Inf(1), false
+	lowest := math.Inf(1)
 	for _, ejected := range []bool{false, true} {
 		for _, id := range candidates {
 			n := b.node(now, id)
 			if n.leaving || now.Before(n.ejectedUntil) != ejected {
 				continue
 			}
-			if n.backlog(now) >= fullBacklog {
-				continue
-			}
-			room = true
-			lowest = min(lowest, n.expected(now, float64(referenceLatency), b.forget))
+			smoothed := n.expected(now, float64(referenceLatency), b.forget) / float64(referenceLatency) * float64(usual)
+			queued := float64(usual) + max(n.backlog(now)-1, 0)*float64(wait)
+			lowest = min(lowest, max(smoothed, queued))
 		}
-		if room {
+		if !math.IsInf(lowest, 1) {
 			break
 		}
 	}
-	if !room {
-		return Outlook{}
-	}
-	return Outlook{Latency: time.Duration(lowest / float64(referenceLatency) * float64(usual)), Room: true}
+	return time.Duration(min(lowest, float64(noOutlook)))
 }
 
 // score is the expected cost of one more request to n.
--- a/forwarder/latencies.go
+++ b/forwarder/latencies.go
@@ -13,6 +13,8 @@
 	usualWeight = 0.002
 	// firstUsual is the part of the latency target that is taken as usual before anything was observed.
 	firstUsual = 0.15
+	// mostMean bounds the mean, which bad times must not raise until every queue seems endless.
+	mostMean = 40 * time.Millisecond
 	// unknownUsual is used for routes without a latency target.
 	unknownUsual = 20 * time.Millisecond
 )
@@ -22,6 +24,8 @@
 type latencies struct {
 	mu     sync.Mutex
 	routes map[string]*usual
+	// all is the usual latency over all routes with shards, by their number of attempts.
+	all float64
 }
 
 type usual struct {
@@ -42,6 +46,16 @@
 	return unknownUsual
 }
 
+// mean returns the usual latency of an attempt at a shard over all routes.
+func (l *latencies) mean() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.all == 0 {
+		return unknownUsual
+	}
+	return min(time.Duration(l.all), mostMean)
+}
+
 // observe learns from a successful attempt.
 func (l *latencies) observe(r *router.Route, latency time.Duration) {
 	l.mu.Lock()
@@ -55,6 +69,12 @@
 		l.routes[r.Name] = u
 	}
 	u.n++
+	if len(r.Shards) > 0 {
+		if l.all == 0 {
+			l.all = float64(latency)
+		}
+		l.all += usualWeight * (float64(latency) - l.all)
+	}
 	u.mean += max(usualWeight, 1/float64(u.n)) * (float64(latency) - u.mean)
 }
 
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -139,11 +139,7 @@
 	expected := make([]time.Duration, p.Shards)
 	usual := min(q.usual, time.Duration(mostUsual*float64(q.route.Target)))
 	for i, service := range q.services {
-		o := q.f.Balancer.Outlook(now, q.f.fleet.Candidates(service), usual)
-		expected[i] = o.Latency
-		if !o.Room {
-			expected[i] = fullLatency
-		}
+		expected[i] = q.f.Balancer.Outlook(now, q.f.fleet.Candidates(service), usual, q.f.latencies.mean())
 	}
 	skip, ok := q.f.gates.of(q.route).Admit(now, expected, p.AnswerBy.Sub(now), q.gather.Need())
 	if !ok && q.mayReturn(now) {
@@ -164,8 +160,6 @@
 }
 
 const (
-	// fullLatency stands for the latency of a shard whose upstreams all have long queues.
-	fullLatency = time.Hour
 	// mostUsual bounds the usual latency, in latency targets, by which late replies are foreseen. A usual latency that
 	// was learned in bad times must not make every shard late.
 	mostUsual = 0.3
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -131,6 +131,9 @@
 // IsCovered reports whether a shard has a reply.
 func (g *Gather) IsCovered(i int) bool { return g.shards[i].covered }
 
+// IsSkipped reports whether a shard was left out from the start.
+func (g *Gather) IsSkipped(i int) bool { return g.shards[i].lost && g.shards[i].asked == 0 }
+
 // Runs returns the number of attempts that may have run, over all shards.
 func (g *Gather) Runs() int {
 	n := 0
