End an ejection before the next look for outliers

Cause: the look for outliers came before the end of an ejection was handled. An upstream that nobody asked meanwhile still had the latency that had ejected it, so a pause of 200 ms led to ejections of 1, 2, 4 and up to 30 s. TestPauseIsForgotten found it: 4 s after the pause it got 0 of 1000 picks.

Change: ejections that are over are ended first, with nothing learned left.

--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -44,18 +44,22 @@
 	if b.noEject || len(staying) < 2 {
 		return staying
 	}
-	b.findOutliers(now, staying)
-	var out []*node
 	for _, n := range staying {
-		if now.Before(n.ejectedUntil) {
-			out = append(out, n)
-		} else if !n.ejectedUntil.IsZero() {
+		if !n.ejectedUntil.IsZero() && !now.Before(n.ejectedUntil) {
+			// What led to the ejection must not lead to the next one, before the upstream was asked again.
 			n.ejectedUntil = time.Time{}
 			failures := n.failures
 			n.recover(now)
 			n.failures = failures
 		}
 	}
+	b.findOutliers(now, staying)
+	var out []*node
+	for _, n := range staying {
+		if now.Before(n.ejectedUntil) {
+			out = append(out, n)
+		}
+	}
 	if len(out) == 0 {
 		return staying
 	}
--- /dev/null
+++ b/balancer/platform_test.go
@@ -0,0 +1,176 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+const ms = time.Millisecond
+
+var epoch = time.Unix(1000, 0)
+
+func after(d time.Duration) time.Time { return epoch.Add(d) }
+
+// learn lets an upstream reply n times with a latency, ending at a time.
+func learn(b *Balancer, id carobbend.UpstreamID, n int, latency time.Duration, end time.Time) {
+	for i := range n {
+		now := end.Add(-time.Duration(n-1-i) * 50 * ms)
+		b.End(now, b.Begin(now.Add(-latency), id, 0), carobbend.FailureNone, -1)
+	}
+}
+
+func ids(names ...carobbend.UpstreamID) []carobbend.UpstreamID { return names }
+
+// shares returns how often each of the candidates is chosen in 1,000 picks.
+func shares(b *Balancer, now time.Time, candidates ...carobbend.UpstreamID) map[carobbend.UpstreamID]int {
+	n := map[carobbend.UpstreamID]int{}
+	for range 1000 {
+		id, _ := b.Pick(now, candidates, nil)
+		n[id]++
+	}
+	return n
+}
+
+// TestSilenceCounts guards against sending on to an upstream that went dark until its first request ends.
+func TestSilenceCounts(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart())
+	learn(b, "dark", 50, 10*ms, after(4*time.Second))
+	learn(b, "sound", 50, 12*ms, after(4*time.Second))
+	b.Begin(after(4*time.Second), "dark", 0)
+	if got := shares(b, after(4*time.Second+60*ms), "dark", "sound"); got["dark"] != 0 {
+		t.Errorf("after 60 ms of silence: got %d picks of 1000, want 0", got["dark"])
+	}
+	// A request that is as old as usual says nothing.
+	c := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart())
+	learn(c, "a", 50, 10*ms, after(4*time.Second))
+	learn(c, "b", 50, 10*ms, after(4*time.Second))
+	c.Begin(after(4*time.Second), "a", 0)
+	c.Begin(after(4*time.Second), "b", 0)
+	if got := shares(c, after(4*time.Second+10*ms), "a", "b"); got["a"] < 300 || got["b"] < 300 {
+		t.Errorf("both busy as usual: got %v, want about half each", got)
+	}
+}
+
+// TestPauseIsForgotten guards against an upstream that stays out of use after a short pause.
+func TestPauseIsForgotten(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart(), WithForgetting(time.Second))
+	learn(b, "paused", 100, 10*ms, after(10*time.Second))
+	learn(b, "other", 100, 10*ms, after(10*time.Second))
+	now := after(10*time.Second + 200*ms)
+	b.End(now, b.Begin(after(10*time.Second), "paused", 0), carobbend.FailureCanceled, -1)
+	if got := shares(b, now, "paused", "other"); got["paused"] != 0 {
+		t.Errorf("right after the pause: got %d picks, want 0", got["paused"])
+	}
+	if got := shares(b, now.Add(4*time.Second), "paused", "other"); got["paused"] < 300 {
+		t.Errorf("4 s later: got %d picks of 1000, want about half", got["paused"])
+	}
+}
+
+// TestOneProbe guards against a burst of requests to a slow upstream each time its estimate has faded.
+func TestOneProbe(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart(), WithForgetting(time.Second))
+	learn(b, "slow", 3, 300*ms, after(time.Second))
+	now := after(6 * time.Second)
+	first := b.Outlook(now, ids("slow"), referenceLatency, referenceLatency)
+	b.Begin(now, "slow", 0)
+	second := b.Outlook(now.Add(ms), ids("slow"), referenceLatency, referenceLatency)
+	if first > 60*ms || second < 200*ms {
+		t.Errorf("got %v idle and %v with a request in flight, want a low and the learned one", first, second)
+	}
+}
+
+// TestFailureIsNotFast guards against preferring an upstream that refuses connections at once.
+func TestFailureIsNotFast(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart())
+	learn(b, "sound", 20, 30*ms, after(2*time.Second))
+	for i := range 2 {
+		now := after(2*time.Second + time.Duration(i)*ms)
+		b.End(now, b.Begin(now, "refusing", 0), carobbend.FailureNotSent, -1)
+	}
+	if got := shares(b, after(2*time.Second+10*ms), "refusing", "sound"); got["refusing"] > 0 {
+		t.Errorf("got %d picks of 1000, want 0", got["refusing"])
+	}
+}
+
+// TestShareOfFailures guards against coming back at once to an upstream that sheds at random while its load is low.
+func TestShareOfFailures(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart())
+	learn(b, "sound", 20, 15*ms, after(2*time.Second))
+	learn(b, "grey", 20, 10*ms, after(2*time.Second))
+	now := after(2 * time.Second)
+	for i := range 20 {
+		now = now.Add(10 * ms)
+		kind := carobbend.FailureNone
+		if i%5 < 3 {
+			kind = carobbend.FailureShed
+		}
+		b.End(now, b.Begin(now.Add(-5*ms), "grey", 0), kind, 0.3)
+	}
+	now = now.Add(50 * ms)
+	if got := shares(b, now, "grey", "sound"); got["grey"] > 0 {
+		t.Errorf("while it sheds: got %d picks of 1000, want 0", got["grey"])
+	}
+	learn(b, "grey", 20, 10*ms, now.Add(3*time.Second))
+	learn(b, "sound", 20, 15*ms, now.Add(3*time.Second))
+	if got := shares(b, now.Add(3*time.Second), "grey", "sound"); got["grey"] < 300 {
+		t.Errorf("3 s after the last shed: got %d picks of 1000, want a share", got["grey"])
+	}
+}
+
+// TestDistance guards against traffic between data centres that gains nothing, and against a slow near upstream.
+func TestDistance(t *testing.T) {
+	far := func(id carobbend.UpstreamID) float64 {
+		if id == "near" {
+			return 1
+		}
+		return 2
+	}
+	for _, c := range []struct {
+		near time.Duration
+		want carobbend.UpstreamID
+	}{{10 * ms, "near"}, {15 * ms, "near"}, {50 * ms, "far"}} {
+		b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart(), WithDistance(far))
+		learn(b, "near", 20, c.near, after(2*time.Second))
+		learn(b, "far", 20, 10*ms, after(2*time.Second))
+		if got := shares(b, after(2*time.Second), "near", "far"); got[c.want] != 1000 {
+			t.Errorf("near replies in %v: got %v, want %s alone", c.near, got, c.want)
+		}
+	}
+}
+
+// TestUsualLatencies guards against taking an upstream that serves long requests for a slow one.
+func TestUsualLatencies(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart())
+	for i := range 20 {
+		now := after(time.Duration(i) * 50 * ms)
+		b.End(now, b.Begin(now.Add(-40*ms), "long", 40*ms), carobbend.FailureNone, -1)
+		b.End(now, b.Begin(now.Add(-5*ms), "short", 5*ms), carobbend.FailureNone, -1)
+	}
+	if got := shares(b, after(1200*ms), "long", "short"); got["long"] < 300 || got["short"] < 300 {
+		t.Errorf("got %v, want about half each", got)
+	}
+}
+
+// TestOutlookOfFullUpstreams guards against adding to queues that are long already.
+func TestOutlookOfFullUpstreams(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart())
+	now := after(time.Second)
+	b.End(now, b.Begin(now.Add(-20*ms), "full", 0), carobbend.FailureNone, 5)
+	for _, c := range []struct {
+		name       string
+		now        time.Time
+		candidates []carobbend.UpstreamID
+		want       time.Duration
+	}{
+		{"right after a report of 5 requests a slot", now, ids("full"), 100 * ms},
+		{"with an idle one beside it", now, ids("full", "idle"), 20 * ms},
+		{"with an old report, since nobody would ask it again", now.Add(backlogWindow), ids("full"), 20 * ms},
+		{"without candidates", now, nil, noOutlook},
+	} {
+		if got := b.Outlook(c.now, c.candidates, 20*ms, 20*ms); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/gatherer/overload_test.go
@@ -0,0 +1,180 @@
+package gatherer_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/balancer"
+	"carobbend.example/carobbend/gatherer"
+)
+
+// The load pattern: several shards of an index are left with a single sound replica, so that the queries ask slightly
+// more of them than they can do. Without a gate their queues grow until every query is late.
+const (
+	shards     = 10
+	tight      = 4 // shards with one upstream; the others have three
+	slots      = 3
+	queueBound = 18
+	work       = 20 * time.Millisecond
+	target     = 100 * time.Millisecond
+	overload   = 1.1 // of what a tight shard can do
+	length     = 10 * time.Second
+)
+
+// simulated is an upstream with slots and a bounded queue, in virtual time.
+type simulated struct {
+	id      carobbend.UpstreamID
+	free    [slots]time.Time
+	running []time.Time // ends of the requests that are in
+}
+
+// accept returns the end of a request that arrives now, or false where the queue is full.
+func (u *simulated) accept(now time.Time, d time.Duration) (time.Time, bool) {
+	in := u.running[:0]
+	for _, end := range u.running {
+		if end.After(now) {
+			in = append(in, end)
+		}
+	}
+	u.running = in
+	if len(in) >= slots+queueBound {
+		return now, false
+	}
+	first := 0
+	for i := range u.free {
+		if u.free[i].Before(u.free[first]) {
+			first = i
+		}
+	}
+	start := now
+	if u.free[first].After(now) {
+		start = u.free[first]
+	}
+	u.free[first] = start.Add(d)
+	u.running = append(u.running, u.free[first])
+	return u.free[first], true
+}
+
+func (u *simulated) load() float64 { return float64(len(u.running)) / slots }
+
+type event struct {
+	at time.Time
+	do func(now time.Time)
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any) {
+	if ev, ok := x.(event); ok {
+		*e = append(*e, ev)
+	}
+}
+
+func (e *events) Pop() any {
+	old := *e
+	ev := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return ev
+}
+
+// play returns the share of all queries that are answered within the target.
+func play(gated bool, seed uint64) float64 {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	b := balancer.New(balancer.WithOverdue(), balancer.WithAllCandidates(), balancer.WithForgetting(time.Second), balancer.WithSeed(seed))
+	upstreams := map[carobbend.UpstreamID]*simulated{}
+	candidates := make([][]carobbend.UpstreamID, shards)
+	for i := range shards {
+		n := 3
+		if i < tight {
+			n = 1
+		}
+		for j := range n {
+			id := carobbend.UpstreamID([]byte{'a' + byte(i), '0' + byte(j)})
+			upstreams[id] = &simulated{id: id}
+			candidates[i] = append(candidates[i], id)
+		}
+	}
+	var gate gatherer.Gate
+	var q events
+	start := time.Unix(1000, 0)
+	asked, inTime := 0, 0
+	query := func(now time.Time) {
+		asked++
+		g := gatherer.New(gatherer.Plan{Shards: shards, MinCoverage: 0.89, Attempts: 1, Repeatable: true, AnswerBy: now.Add(target), Deadline: now.Add(10 * target)})
+		if gated {
+			expected := make([]time.Duration, shards)
+			for i := range shards {
+				expected[i] = b.Outlook(now, candidates[i], work, work)
+			}
+			skip, ok := gate.Admit(now, expected, target, g.Need())
+			if !ok {
+				return
+			}
+			for _, i := range skip {
+				g.Skip(i)
+			}
+		}
+		done := false
+		check := func(now time.Time) {
+			if step := g.Next(now); !done && step.Action != gatherer.Wait {
+				done = true
+				if step.Action == gatherer.Answer && now.Sub(start) >= 0 {
+					inTime++
+				}
+			}
+		}
+		for i := range shards {
+			if g.IsSkipped(i) {
+				continue
+			}
+			id, _ := b.Pick(now, candidates[i], nil)
+			u := upstreams[id]
+			r := b.Begin(now, id, work)
+			g.Sent(i, now)
+			end, ok := u.accept(now, time.Duration(float64(work)*(0.7+0.6*rng.Float64())))
+			heap.Push(&q, event{end, func(at time.Time) {
+				if !ok {
+					b.End(at, r, carobbend.FailureShed, u.load())
+					g.Failed(i, carobbend.FailureShed)
+				} else {
+					b.End(at, r, carobbend.FailureNone, u.load())
+					g.Replied(i)
+				}
+				if at.Sub(now) <= target {
+					check(at)
+				}
+			}})
+		}
+		heap.Push(&q, event{now.Add(target), check})
+	}
+	rate := overload * slots / work.Seconds()
+	for at := start; at.Before(start.Add(length)); at = at.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second))) {
+		heap.Push(&q, event{at, query})
+	}
+	for q.Len() > 0 {
+		if ev, ok := heap.Pop(&q).(event); ok {
+			ev.do(ev.at)
+		}
+	}
+	return float64(inTime) / float64(asked)
+}
+
+// TestTightShards guards against an overload of a tenth that makes nearly all queries late.
+func TestTightShards(t *testing.T) {
+	for seed := range uint64(3) {
+		without, with := play(false, seed), play(true, seed)
+		t.Logf("seed %d: in time %.2f without the gate, %.2f with it", seed, without, with)
+		if with < 0.7 {
+			t.Errorf("seed %d: got %.2f of the queries in time, want at least 0.7 of an overload of 1.1", seed, with)
+		}
+		if without > 0.5 {
+			t.Errorf("seed %d: got %.2f in time without the gate, want at most half, or the pattern isn't there", seed, without)
+		}
+	}
+}
