--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,8 +15,8 @@
 package forwarder
 
 import (
-	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -284,7 +284,7 @@
 	switch {
 	case err == nil:
 		return b, nil
-	case asMaxBytes(err, &long):
+	case errors.As(err, &long):
 		return nil, tooLong
 	case r.Context().Err() != nil:
 		return nil, &refusal{http.StatusBadRequest, OutcomeGone, "the caller left", 0}
@@ -310,6 +310,3 @@
 	// A caller that left gets no answer.
 	_, _ = w.Write(append(body, '\n'))
 }
-
-// callerContext returns the context that ends when the caller leaves.
-func callerContext(r *http.Request) context.Context { return r.Context() }
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -98,7 +97,7 @@
 
 // serve asks upstreams until the gather ends, and answers.
 func (q *query) serve(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithCancel(callerContext(r))
+	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	q.usual = q.f.latencies.of(q.route)
 	p := q.plan()
@@ -156,7 +155,7 @@
 
 // mayReturn reports whether the caller has the time to come back with a fair chance.
 func (q *query) mayReturn(now time.Time) bool {
-	return q.deadline.Sub(now) > returnFactor*(returnMin+returnSpread)
+	return q.deadline.Sub(now) > returnMin+returnSpread
 }
 
 const (
@@ -167,11 +166,9 @@
 	// again.
 	returnMin    = 100 * time.Millisecond
 	returnSpread = 300 * time.Millisecond
-	// returnFactor is the least time left, in return times, of a caller that is asked to come back.
-	returnFactor = 1
 )
 
-// maxSpare is the number of results of a shard beyond its attempts that may end as not run.
+// maxSpare is the room for results of a shard beyond its attempts; package gatherer allows fewer that end as not run.
 const maxSpare = 3
 
 // run moves the gather on until it ends or the caller leaves.
@@ -386,5 +383,3 @@
 		q.end(w, &refusal{http.StatusBadGateway, OutcomeFailed, "attempts failed and may have run", 0})
 	}
 }
-
-func asMaxBytes(err error, target **http.MaxBytesError) bool { return errors.As(err, target) }
