--- a/meter/forward.go
+++ b/meter/forward.go
@@ -9,9 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/forwarder"
@@ -44,13 +42,11 @@
 
 // NewForward returns a meter with its own registry.
 func NewForward(src ForwardSources) (*Forward, error) {
-	reg := prometheus.NewRegistry()
-	exp, err := exporter.New(exporter.WithRegisterer(reg), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	reg, provider, err := newProvider()
 	if err != nil {
-		return nil, &Error{Op: "new exporter", Err: err}
+		return nil, err
 	}
-	mt := sdk.NewMeterProvider(sdk.WithReader(exp)).Meter("carobbend")
-	b := &builder{mt: mt}
+	b := &builder{mt: provider.Meter("carobbend")}
 	m := &Forward{registry: reg}
 	m.requests = b.counter("carobbend_requests", "Callers' requests ended, by outcome.")
 	m.latency = b.histogram("carobbend_request_duration", "Time from arrival to answer, by route and outcome.")
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -81,12 +81,11 @@
 
 // New returns a meter with its own registry.
 func New(src Sources) (*Meter, error) {
-	reg := prometheus.NewRegistry()
-	exp, err := exporter.New(exporter.WithRegisterer(reg), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	reg, provider, err := newProvider()
 	if err != nil {
-		return nil, &Error{Op: "new exporter", Err: err}
+		return nil, err
 	}
-	m := &Meter{registry: reg, provider: sdk.NewMeterProvider(sdk.WithReader(exp))}
+	m := &Meter{registry: reg, provider: provider}
 	mt := m.provider.Meter("carobbend")
 	b := &builder{mt: mt}
 	m.queries = b.counter("carobbend_queries", "Queries answered, by index and outcome.")
@@ -102,6 +101,16 @@
 	return m, nil
 }
 
+// newProvider returns a provider of instruments that a registry of its own shows.
+func newProvider() (*prometheus.Registry, *sdk.MeterProvider, error) {
+	reg := prometheus.NewRegistry()
+	exp, err := exporter.New(exporter.WithRegisterer(reg), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return nil, nil, &Error{Op: "new exporter", Err: err}
+	}
+	return reg, sdk.NewMeterProvider(sdk.WithReader(exp)), nil
+}
+
 // Handler serves the metrics in the Prometheus format.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
