Tell a time-out as such where timers fire late

Its log shows took-ms=107 of 100: the timer fired late, the attempt ended at the same deadline, and the gather saw a lost shard first. Ruled out: a second attempt (retries=0), an upstream's reply.

Change: the deadline is looked at before the lost shards.

Result: TestLateTimer fails before and passes after; statuses of requests that ran into their time change from 502 to 504, nothing else does.

--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -218,12 +218,13 @@
 	switch {
 	case open == 0 && g.covered >= g.need:
 		return Step{Action: Answer}
-	case g.covered+open < g.need:
-		return Step{Action: Fail, Reason: ReasonShards}
 	case g.covered >= g.need && !g.plan.AnswerBy.IsZero() && !now.Before(g.plan.AnswerBy):
 		return Step{Action: Answer}
 	case !now.Before(g.plan.Deadline):
+		// Comes before the lost shards: where timers fire late, attempts fail at the same deadline.
 		return Step{Action: Fail, Reason: ReasonDeadline}
+	case g.covered+open < g.need:
+		return Step{Action: Fail, Reason: ReasonShards}
 	}
 	step := Step{Action: Wait, Ask: g.ask, Until: g.plan.Deadline}
 	g.ask = nil
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// TestLateTimer guards against a time-out that is told as a failure since the attempt ended at the deadline too.
+func TestLateTimer(t *testing.T) {
+	g := begin(Plan{Shards: 1, MinCoverage: 1, Attempts: 2, Deadline: at(95)})
+	g.Failed(0, carobbend.FailureDeadline)
+	if got := g.Next(at(107)); got.Action != Fail || got.Reason != ReasonDeadline {
+		t.Errorf("got %+v, want a failure by the deadline", got)
+	}
+}
+
 // TestRunsOnce guards against a second run of a request that may run once.
 func TestRunsOnce(t *testing.T) {
 	for _, c := range []struct {
