Share the back-off, and remove what nothing calls

Cause: reading the whole change again: follower and enroller each doubled and jittered their pauses; the forwarder kept which shards it skipped beside the gather, which knows; three accessors had no caller.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -14,13 +14,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/logger"
+	"carobbend.example/carobbend/sleeper"
 )
 
 const (
@@ -123,9 +123,8 @@
 			if failures == 0 {
 				e.log.Error(err, "announcement or renewal failed")
 			}
-			d := min(firstBackOff<<min(failures, 10), lastBackOff)
-			pause = d/2 + rand.N(d/2)
 			failures++
+			pause = sleeper.BackOff(failures, firstBackOff, lastBackOff)
 		}
 		timer.Reset(pause)
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -268,8 +268,7 @@
 	if f.scope == carobbend.ScopeInstances {
 		longest = reserveBackOff
 	}
-	d := min(firstBackOff<<min(f.failures-1, 10), longest)
-	return d/2 + rand.N(d/2)
+	return sleeper.BackOff(f.failures, firstBackOff, longest)
 }
 
 func sinceMs(now, at time.Time) int64 {
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -48,8 +48,6 @@
 	// asked holds the upstreams of each shard that were asked.
 	asked [][]carobbend.UpstreamID
 	parts []*exchanger.Reply
-	// skipped marks the shards that weren't asked.
-	skipped []bool
 	// failure is the last failure that an upstream stated itself.
 	failure *exchanger.Reply
 
@@ -114,7 +112,7 @@
 		return
 	}
 	for i := range q.services {
-		if !q.skipped[i] {
+		if !q.gather.IsSkipped(i) {
 			q.attempt(ctx, now, i, AttemptPrimary)
 		}
 	}
@@ -131,7 +129,6 @@
 // admit leaves out shards that are full or expected to reply after the answer, and refuses the query where too few
 // remain: asking the full ones would only add to the queues that make every query late.
 func (q *query) admit(now time.Time, p gatherer.Plan) *refusal {
-	q.skipped = make([]bool, p.Shards)
 	if p.AnswerBy.IsZero() {
 		return nil
 	}
@@ -147,7 +144,6 @@
 	}
 	for _, i := range skip {
 		q.gather.Skip(i)
-		q.skipped[i] = true
 		q.skips++
 	}
 	return nil
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -128,9 +128,6 @@
 // Need returns the number of shards that an answer needs.
 func (g *Gather) Need() int { return g.need }
 
-// IsCovered reports whether a shard has a reply.
-func (g *Gather) IsCovered(i int) bool { return g.shards[i].covered }
-
 // IsSkipped reports whether a shard was left out from the start.
 func (g *Gather) IsSkipped(i int) bool { return g.shards[i].lost && g.shards[i].asked == 0 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -48,14 +48,6 @@
 	delete(r.held, key)
 }
 
-// Get returns a record.
-func (r *Registry[T]) Get(key string) (T, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	record, ok := r.records[key]
-	return record, ok
-}
-
 // Remove drops a record and returns true, or holds the removal back and returns false.
 func (r *Registry[T]) Remove(now time.Time, key string) bool {
 	r.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -71,15 +71,6 @@
 	return s, ok
 }
 
-// Routes returns the number of routes.
-func (t *Table) Routes() int {
-	n := 0
-	for _, h := range t.hosts {
-		n += len(h.byPrefix)
-	}
-	return n
-}
-
 // Find returns the route with the longest prefix that begins the path, which is taken as sent, without a query.
 // Prefixes end at slashes, so the cost grows with the slashes of the path and not with the number of routes.
 func (t *Table) Find(hostname, path string) (*Route, bool) {
--- a/sleeper/sleeper.go
+++ b/sleeper/sleeper.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -27,3 +28,13 @@
 		return false
 	}
 }
+
+// maxDoublings keeps the pause of BackOff from overflowing.
+const maxDoublings = 10
+
+// BackOff returns the pause after a number of failures in a row, at least 1: it doubles from first up to last, and half of
+// it is drawn at random.
+func BackOff(failures int, first, last time.Duration) time.Duration {
+	d := min(first<<min(max(failures-1, 0), maxDoublings), last)
+	return d/2 + rand.N(d/2)
+}
