Count cancels before anything was sent as cancels, not as failures

Cause: a query that ends at once since a shard has no upstream cancels its other attempts, many of which are still opening connections (6 ms).

Test: exchanger TestCancelBeforeSent, which failed with not-sent before.

--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -290,17 +290,16 @@
 	return b, err
 }
 
-// fail returns the error of this package for err. A cancel and the request's deadline count as such only where
-// something was written; before, the request certainly didn't run.
+// fail returns the error of this package for err. A cancel counts as such at any time, since it says nothing about the
+// upstream; the request's deadline only where something was written, since before, the request certainly didn't run.
 func (a *Attempt) fail(op string, kind carobbend.FailureKind, err error) error {
-	if kind != carobbend.FailureNotSent {
-		var ne net.Error
-		switch {
-		case a.ctx.Err() != nil:
-			kind = carobbend.FailureCanceled
-		case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &ne) && ne.Timeout():
-			kind = carobbend.FailureDeadline
-		}
+	var ne net.Error
+	switch {
+	case a.ctx.Err() != nil:
+		kind = carobbend.FailureCanceled
+	case kind == carobbend.FailureNotSent:
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &ne) && ne.Timeout():
+		kind = carobbend.FailureDeadline
 	}
 	return &Error{Op: op, Kind: kind, Err: errorx.Decorate(err, "exchange")}
 }
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -287,6 +287,44 @@
 	<-closed
 }
 
+// TestCancelBeforeSent guards against cancels before anything was sent that count as failures of the upstream: when a query ends at once since
+// a shard is lost, its other attempts are still opening connections, and all upstreams would be ejected.
+func TestCancelBeforeSent(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	release := make(chan struct{})
+	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		begun <- struct{}{}
+		<-release
+		reply(w, r, 200, "body")
+		return true
+	})
+	x := newExchanger(t)
+	target := u.target()
+	target.MaxConns = 1
+	first := make(chan error, 1)
+	go func() {
+		_, err := x.Attempt(context.Background()).Do(target, request("1"))
+		first <- err
+	}()
+	<-begun
+	for _, canceled := range []string{"while it waits", "before it begins"} {
+		a := x.Attempt(context.Background())
+		if canceled == "before it begins" {
+			a.Cancel()
+		} else {
+			time.AfterFunc(10*time.Millisecond, a.Cancel)
+		}
+		_, err := a.Do(target, request("2"))
+		if got, want := KindOf(err), carobbend.FailureCanceled; got != want {
+			t.Errorf("canceled %s: got %v, want %v", canceled, got, want)
+		}
+	}
+	close(release)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestEarlyReply guards against a connection on which the rest of a long body is still due being used again.
 func TestEarlyReply(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
