Expect of failing upstreams what their failures cost

Cause: the gate's outlook for a shard counts latencies and queues alone.

Change: the expected time of the best replica is multiplied by the attempts that its share of failures asks for.

Ruled out: leaving out what is ejected, since at most half of a shard's replicas count as ejected.

Test: balancer TestOutlookOfFailingUpstreams, which failed before with 20 ms for a dead shard.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,6 +31,10 @@
 // noOutlook is the latency expected where there is no candidate.
 const noOutlook = time.Hour
 
+// leastSuccess is the share of successes that is expected of an upstream which fails all requests. It makes such an
+// upstream slower than any latency target.
+const leastSuccess = 0.02
+
 // referenceLatency is the latency to which those of requests with a usual latency are scaled.
 const referenceLatency = 20 * time.Millisecond
 
@@ -320,7 +324,7 @@
 
 // Outlook returns the latency that a new request may expect at the best candidate, for a kind of request whose usual
 // latency is given: what the upstream's replies took lately, or what the queue that it reported takes at wait for each
-// request per slot, whichever is longer. Ejected candidates count where there is no other one.
+// request per slot, whichever is longer, for as many attempts as the share of failures asks for. Ejected candidates count where there is no other one.
 func (b *Balancer) Outlook(now time.Time, candidates []carobbend.UpstreamID, usual, wait time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -333,7 +337,8 @@
 			}
 			smoothed := n.expected(now, float64(referenceLatency), b.forget) / float64(referenceLatency) * float64(usual)
 			queued := float64(usual) + max(n.backlog(now)-1, 0)*float64(wait)
-			lowest = min(lowest, max(smoothed, queued))
+			attempts := 1 / max(1-n.faultNow(now), leastSuccess)
+			lowest = min(lowest, max(smoothed, queued)*attempts)
 		}
 		if !math.IsInf(lowest, 1) {
 			break
--- a/balancer/platform_test.go
+++ b/balancer/platform_test.go
@@ -174,3 +174,36 @@
 		}
 	}
 }
+
+// TestOutlookOfFailingUpstreams guards against counting on a shard whose upstreams all refuse at once: without it the
+// gate spends the coverage that may be missing on slow shards, and every query ends early for the dead one.
+func TestOutlookOfFailingUpstreams(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart())
+	now := after(4 * time.Second)
+	for _, id := range ids("dead-1", "dead-2", "half", "sound") {
+		learn(b, id, 20, 20*ms, now)
+	}
+	for i := range 20 {
+		for _, id := range ids("dead-1", "dead-2") {
+			b.End(now, b.Begin(now.Add(-ms), id, 0), carobbend.FailureNotSent, -1)
+		}
+		if i%2 == 0 {
+			b.End(now, b.Begin(now.Add(-ms), "half", 0), carobbend.FailureShed, 0)
+		} else {
+			b.End(now, b.Begin(now.Add(-20*ms), "half", 0), carobbend.FailureNone, 0)
+		}
+	}
+	for _, c := range []struct {
+		name        string
+		candidates  []carobbend.UpstreamID
+		least, most time.Duration
+	}{
+		{"all dead", ids("dead-1", "dead-2"), 150 * ms, noOutlook},
+		{"a sound one beside them", ids("dead-1", "dead-2", "sound"), 20 * ms, 20 * ms},
+		{"one that sheds every second request", ids("half"), 30 * ms, 100 * ms},
+	} {
+		if got := b.Outlook(now, c.candidates, 20*ms, 20*ms); got < c.least || got > c.most {
+			t.Errorf("%s: got %v, want %v to %v", c.name, got, c.least, c.most)
+		}
+	}
+}
