Bound extra requests over a sliding window instead of by tokens

The bound is a ratio of the requests plus a slack in any 10 s. The token bucket gave the slack once, earned 85% of the ratio, and earned nothing for shards that were left out and queries that were refused, although these are requests as well.

Change: hedger.Allowance counts requests and extra requests of each service over the window and allows 95% of the ratio and 85% of the slack in each. A larger slack is reached over a window, after a start or the loss of an instance. The window is a setting (extra-load.window).

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -25,9 +25,10 @@
 )
 
 const (
-	// extraLoadPart is the part of the shared bound on extra load that instances use; the rest covers requests that
-	// callers count but that never reach an instance.
-	extraLoadPart = 0.85
+	// extraRatioPart and extraSlackPart are the parts of the shared bound on extra load that instances use. The rest
+	// covers windows that begin at other times than those of the observer, and instances that don't know of each other yet.
+	extraRatioPart = 0.95
+	extraSlackPart = 0.85
 	// farFactor scales the score of upstreams in other data centres; bytes between data centres are paid for.
 	farFactor = 2.5
 	// forgetTime is the time constant with which a raised latency of an unused upstream returns to its baseline.
@@ -47,7 +48,7 @@
 	fleet     forwarder.Fleet
 	steerer   steerer.Steerer
 	balancer  *balancer.Balancer
-	budget    *hedger.Budget
+	allowance *hedger.Allowance
 	exchanger *exchanger.Exchanger
 	forwarder *forwarder.Forwarder
 	store     *platform.Store
@@ -76,11 +77,13 @@
 	headers := platform.Headers()
 	x.balancer = balancer.New(balancer.WithOverdue(), balancer.WithForgetting(forgetTime), balancer.WithAllCandidates(),
 		balancer.WithDistance(x.distance), balancer.WithSeed(uint64(time.Now().UnixNano())))
-	x.budget = hedger.NewBudget(hedger.WithBurst(1))
+	x.allowance = hedger.NewAllowance(cfg.ExtraLoad.Window)
+	// The slack is shared; how many share it is known once the list of instances was read.
+	x.allowance.Set(time.Now(), extraRatioPart*cfg.ExtraLoad.Ratio, 0)
 	x.exchanger = exchanger.New(headers.Headers)
 	x.forwarder = forwarder.New(forwarder.Config{
 		Headers: headers, Router: &x.router, Fleet: &x.fleet, Balancer: x.balancer, Exchanger: x.exchanger,
-		Budget: x.budget, Hedger: hedger.New(), Instances: x.steerer.Live, ExtraLoad: 100 * extraLoadPart * cfg.ExtraLoad.Ratio,
+		Allowance: x.allowance, Hedger: hedger.New(), Instances: x.steerer.Live,
 	})
 	x.store = platform.NewStore(cfg.Store)
 	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
@@ -166,12 +169,18 @@
 	before := x.steerer.Live()
 	x.steerer.Update(instances)
 	n := x.steerer.Live()
-	x.budget.SetBurst(int(extraLoadPart * float64(x.cfg.ExtraLoad.Slack) / float64(n)))
+	x.boundExtraLoad(n)
 	if n != before {
 		x.log.Info("instances changed", "live", n, "before", before)
 	}
 }
 
+// boundExtraLoad sets this instance's part of the extra load that n instances share.
+func (x *forwardInstance) boundExtraLoad(n int) {
+	bound := x.cfg.ExtraLoad
+	x.allowance.Set(time.Now(), extraRatioPart*bound.Ratio, extraSlackPart*float64(bound.Slack)/float64(n))
+}
+
 // considerServing takes this instance out of reserve where it is needed and still is after the larger ones had time.
 func (x *forwardInstance) considerServing(instances map[string]carobbend.Instance) {
 	x.mu.Lock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	f := forwarder.New(forwarder.Config{Headers: names, Router: &r, Fleet: &fleet, Balancer: b, Exchanger: x, Budget: budget})
+//	f := forwarder.New(forwarder.Config{Headers: names, Router: &r, Fleet: &fleet, Balancer: b, Exchanger: x, Allowance: a})
 //	http.Serve(listener, f)
 package forwarder
 
@@ -103,15 +103,14 @@
 	Fleet     *Fleet
 	Balancer  *balancer.Balancer
 	Exchanger *exchanger.Exchanger
-	Budget    *hedger.Budget
+	// Allowance bounds hedges and retries by service.
+	Allowance *hedger.Allowance
 	// Hedger learns the latency of attempts by route.
 	Hedger carobbend.Hedger
 	// Recorder may be nil.
 	Recorder Recorder
 	// Instances returns the number of live instances, by which connections are shared.
 	Instances func() int
-	// ExtraLoad is the percentage of extra requests that a service may get from this instance.
-	ExtraLoad float64
 }
 
 // Forwarder serves callers. It implements http.Handler.
@@ -198,6 +197,7 @@
 	if len(q.services) == 0 {
 		q.services = []string{route.Choose()}
 	}
+	f.Allowance.Requested(q.began, q.services...)
 	if lacking := f.lacking(q); lacking != "" {
 		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, lacking, retryAfter}
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -43,11 +43,12 @@
 func newTier(t *testing.T) *tier {
 	t.Helper()
 	x := exchanger.New(names.Headers)
-	budget := hedger.NewBudget()
+	allowance := hedger.NewAllowance(time.Millisecond)
+	allowance.Set(time.Now(), 1, 100)
 	r := &router.Router{}
 	fleet := &Fleet{}
 	f := New(Config{
-		Headers: names, Router: r, Fleet: fleet, Exchanger: x, Budget: budget, Hedger: hedger.New(), ExtraLoad: 100,
+		Headers: names, Router: r, Fleet: fleet, Exchanger: x, Allowance: allowance, Hedger: hedger.New(),
 		Balancer: balancer.New(balancer.WithOverdue(), balancer.WithAllCandidates()),
 	})
 	s := httptest.NewUnstartedServer(f)
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -225,9 +225,7 @@
 		q.gather.Denied(shard, now)
 		return
 	}
-	if kind == AttemptPrimary {
-		f.Budget.Earn(service, 1, f.ExtraLoad)
-	} else if !f.Budget.Spend(service) {
+	if kind != AttemptPrimary && !f.Allowance.Spend(now, service) {
 		q.gather.Denied(shard, now)
 		return
 	}
--- a/hedger/allowance.go
+++ b/hedger/allowance.go
@@ -12,34 +12,22 @@
 // defaultWindow is the time over which an Allowance without one counts.
 const defaultWindow = 10 * time.Second
 
-// Urgency says how much depends on an extra request.
-type Urgency int
-
-const (
-	// Spare marks an extra request that improves an answer which is possible without it.
-	Spare Urgency = iota
-	// Needed marks an extra request without which there is no answer.
-	Needed
-)
-
-// sparePart is the part of an allowance that requests of urgency Spare may use. The rest is left for answers that aren't
-// possible without it: when several replicas fail at once, all queries ask for more than the allowance.
-const sparePart = 0.6
-
 // Allowance bounds hedges and retries for each service: in any window of time they number at most a ratio of the
-// requests plus a slack. The slack grows from 0 over the first window, since a former process of this instance may have
-// used its own.
+// requests plus a slack. A larger slack is reached over a window: after a start, a former process of this instance may
+// have used its own, and after the loss of an instance, so may that one.
 //
 // Requests count when they arrive, also if they are refused. The zero value allows nothing; an Allowance is safe for
 // concurrent use.
 type Allowance struct {
 	window time.Duration
 
-	mu       sync.Mutex
-	ratio    float64
-	slack    float64
-	started  time.Time
-	services map[string]*usage
+	mu    sync.Mutex
+	ratio float64
+	// slackFrom is the slack at slackAt, from where it grows to slackTo.
+	slackFrom, slackTo float64
+	slackAt            time.Time
+	started            time.Time
+	services           map[string]*usage
 }
 
 // usage counts requests and extra requests in a ring of cells.
@@ -53,10 +41,17 @@
 func NewAllowance(window time.Duration) *Allowance { return &Allowance{window: window} }
 
 // Set changes the bounds; a negative one counts as 0.
-func (a *Allowance) Set(ratio, slack float64) {
+func (a *Allowance) Set(now time.Time, ratio, slack float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ratio, a.slack = max(ratio, 0), max(slack, 0)
+	a.ratio, slack = max(ratio, 0), max(slack, 0)
+	a.slackFrom, a.slackTo, a.slackAt = min(a.slack(now), slack), slack, now
+}
+
+// slack returns the slack that holds now.
+func (a *Allowance) slack(now time.Time) float64 {
+	grown := min(float64(now.Sub(a.slackAt))/float64(a.length()), 1)
+	return a.slackFrom + grown*(a.slackTo-a.slackFrom)
 }
 
 // Requested counts a request to each of the services.
@@ -70,7 +65,7 @@
 }
 
 // Spend takes one extra request to a service from its allowance, or returns false.
-func (a *Allowance) Spend(now time.Time, service string, urgency Urgency) bool {
+func (a *Allowance) Spend(now time.Time, service string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	u := a.usage(now, service)
@@ -82,12 +77,7 @@
 			requests += u.requests[i]
 		}
 	}
-	grown := min(float64(now.Sub(a.started))/float64(a.length()), 1)
-	most := a.ratio*float64(requests) + a.slack*grown
-	if urgency == Spare {
-		most *= sparePart
-	}
-	if float64(extra+1) > most {
+	if float64(extra+1) > a.ratio*float64(requests)+a.slack(now) {
 		return false
 	}
 	u.extra[u.current%(cells+1)]++
--- /dev/null
+++ b/hedger/allowance_test.go
@@ -0,0 +1,115 @@
+package hedger
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// Guards against refused hedges while the bound on extra requests has room: a token bucket that holds the slack allows it
+// once and then the ratio alone, also when replicas of a shard are dark or slow for ten seconds.
+func TestSlackReturnsInEachWindow(t *testing.T) {
+	a := NewAllowance(10 * time.Second)
+	a.Set(epoch, 0.2, 50)
+	for window := 1; window <= 3; window++ {
+		spent := 0
+		for ms := range 10_000 {
+			now := epoch.Add(time.Duration(window)*11*time.Second + time.Duration(ms)*time.Millisecond)
+			if ms%10 == 0 {
+				a.Requested(now, "s")
+			}
+			if a.Spend(now, "s") {
+				spent++
+			}
+		}
+		if want := 200; spent < want || spent > 250 {
+			t.Errorf("window %d of 1000 requests: got %d extra ones, want %d to 250", window, spent, want)
+		}
+	}
+}
+
+// Guards against a slack that is used twice: by a restarted instance after its former process, or by the others after an
+// instance that is gone.
+func TestSlackGrowsOverAWindow(t *testing.T) {
+	a := NewAllowance(10 * time.Second)
+	a.Set(epoch, 0, 50)
+	spend := func(now time.Time) (n int) {
+		for a.Spend(now, "s") {
+			n++
+		}
+		return n
+	}
+	if got := spend(epoch); got != 0 {
+		t.Errorf("at the start: got %d, want 0", got)
+	}
+	if got := spend(epoch.Add(5 * time.Second)); got != 25 {
+		t.Errorf("after half a window: got %d, want 25", got)
+	}
+	if got := spend(epoch.Add(10 * time.Second)); got != 25 {
+		t.Errorf("after a window: got %d, want the other 25", got)
+	}
+	// Of two instances, one is gone: what it used still counts for a window.
+	a.Set(epoch.Add(30*time.Second), 0, 100)
+	if got := spend(epoch.Add(30 * time.Second)); got != 50 {
+		t.Errorf("right after the loss of an instance: got %d, want 50", got)
+	}
+	a.Set(epoch.Add(31*time.Second), 0, 20)
+	if got := spend(epoch.Add(41 * time.Second)); got != 20 {
+		t.Errorf("a window after a smaller slack: got %d, want 20", got)
+	}
+}
+
+// Guards against one service using the extra requests of another.
+func TestAllowanceOfEachService(t *testing.T) {
+	a := NewAllowance(0)
+	a.Set(epoch, 1, 0)
+	a.Requested(epoch, "asked", "other")
+	if !a.Spend(epoch, "asked") || a.Spend(epoch, "asked") || !a.Spend(epoch, "other") || a.Spend(epoch, "unknown") {
+		t.Error("got another number than one extra request for each request")
+	}
+	if (&Allowance{}).Spend(epoch, "s") {
+		t.Error("zero value: got an extra request, want none")
+	}
+}
+
+// Guards against more extra requests than the bound in any window, wherever it begins.
+func TestAllowanceHoldsInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		window := 10 * time.Second
+		a := NewAllowance(window)
+		ratio, slack := rapid.Float64Range(0, 1).Draw(t, "ratio"), rapid.Float64Range(0, 30).Draw(t, "slack")
+		a.Set(epoch, ratio, slack)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		var requests, extra []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			if rng.IntN(50) == 0 {
+				now += time.Duration(rng.Int64N(int64(2 * window)))
+			}
+			now += time.Duration(rng.Int64N(int64(200 * time.Millisecond)))
+			if rng.IntN(2) == 0 {
+				a.Requested(epoch.Add(now), "s")
+				requests = append(requests, now)
+			} else if a.Spend(epoch.Add(now), "s") {
+				extra = append(extra, now)
+			}
+		}
+		in := func(times []time.Duration, end time.Duration) (n int) {
+			for _, at := range times {
+				if at > end-window && at <= end {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range extra {
+			if got, most := in(extra, end), ratio*float64(in(requests, end))+slack; float64(got) > most {
+				t.Fatalf("in the window to %v: got %d extra requests, want at most %v", end, got, most)
+			}
+		}
+	})
+}
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -44,6 +44,8 @@
 	Ratio float64 `yaml:"ratio" validate:"gte=0,lte=1"`
 	// Slack is the number of extra requests that are allowed besides.
 	Slack int `yaml:"slack" validate:"gte=0"`
+	// Window is the time over which extra requests are counted; 0 means 10 s.
+	Window time.Duration `yaml:"window" validate:"gte=0"`
 }
 
 // Defaults of Forward.
