Foresee queues from an instance's own requests in flight

Cause: the gate foresees a queue from the load that replies report.

Change: Outlook also counts the instance's own requests in flight per its part of the slots, at half weight.

Test: balancer TestOutlookOfOwnRequests. The number of live instances is kept, since each outlook asks for it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -35,6 +35,10 @@
 // upstream slower than any latency target.
 const leastSuccess = 0.02
 
+// ownPart is the number of requests that other instances have at an upstream for each of this one's, as a part of what
+// equal shares would give. Chance makes an instance with many requests there the exception; 1 foresaw queues that weren't.
+const ownPart = 0.5
+
 // referenceLatency is the latency to which those of requests with a usual latency are scaled.
 const referenceLatency = 20 * time.Millisecond
 
@@ -82,6 +86,12 @@
 	return func(b *Balancer) { b.distance = f }
 }
 
+// WithSlots lets a Balancer foresee queues that no reply has reported yet: f returns how many slots of an upstream fall to
+// this instance, 0 where they aren't known.
+func WithSlots(f func(carobbend.UpstreamID) float64) Option {
+	return func(b *Balancer) { b.slots = f }
+}
+
 // WithAllCandidates compares all candidates instead of two random ones; it pays where there are few.
 func WithAllCandidates() Option { return func(b *Balancer) { b.compareAll = true } }
 
@@ -91,6 +101,7 @@
 	overdue     bool
 	forget      time.Duration
 	distance    func(carobbend.UpstreamID) float64
+	slots       func(carobbend.UpstreamID) float64
 	compareAll  bool
 	noEject     bool
 	noSlowStart bool
@@ -323,8 +334,9 @@
 }
 
 // Outlook returns the latency that a new request may expect at the best candidate, for a kind of request whose usual
-// latency is given: what the upstream's replies took lately, or what the queue that it reported takes at wait for each
-// request per slot, whichever is longer, for as many attempts as the share of failures asks for. Ejected candidates count where there is no other one.
+// latency is given: what the upstream's replies took lately, or what its queue takes at wait for each request per slot,
+// whichever is longer, for as many attempts as the share of failures asks for. Ejected candidates count where there is no
+// other one.
 func (b *Balancer) Outlook(now time.Time, candidates []carobbend.UpstreamID, usual, wait time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -336,7 +348,7 @@
 				continue
 			}
 			smoothed := n.expected(now, float64(referenceLatency), b.forget) / float64(referenceLatency) * float64(usual)
-			queued := float64(usual) + max(n.backlog(now)-1, 0)*float64(wait)
+			queued := float64(usual) + max(n.backlog(now)-1, b.ownBacklog(n)-1, 0)*float64(wait)
 			attempts := 1 / max(1-n.faultNow(now), leastSuccess)
 			lowest = min(lowest, max(smoothed, queued)*attempts)
 		}
@@ -347,6 +359,19 @@
 	return time.Duration(min(lowest, float64(noOutlook)))
 }
 
+// ownBacklog is the number of requests per slot that this instance's requests in flight stand for. During a pause of the
+// upstream nothing else shows its queue.
+func (b *Balancer) ownBacklog(n *node) float64 {
+	if b.slots == nil {
+		return 0
+	}
+	slots := b.slots(n.id)
+	if slots <= 0 {
+		return 0
+	}
+	return ownPart * float64(n.inFlight) / slots
+}
+
 // score is the expected cost of one more request to n.
 func (b *Balancer) score(now time.Time, n *node, unknown float64) float64 {
 	s := n.score(now, unknown, b.forget, !b.noHint)
--- a/balancer/platform_test.go
+++ b/balancer/platform_test.go
@@ -207,3 +207,26 @@
 		}
 	}
 }
+
+// TestOutlookOfOwnRequests guards against queries that queue at a paused upstream, whose replies report nothing meanwhile.
+func TestOutlookOfOwnRequests(t *testing.T) {
+	b := New(WithOverdue(), WithAllCandidates(), WithoutSlowStart(), WithSlots(func(id carobbend.UpstreamID) float64 {
+		if id == "unknown" {
+			return 0
+		}
+		return 0.5
+	}))
+	now := after(4 * time.Second)
+	for _, id := range ids("paused", "unknown") {
+		learn(b, id, 50, 20*ms, now)
+		for range 5 {
+			b.Begin(now, id, 0)
+		}
+	}
+	if got, want := b.Outlook(now, ids("paused"), 20*ms, 20*ms), 100*ms; got != want {
+		t.Errorf("5 requests in flight at half a slot: got %v, want %v", got, want)
+	}
+	if got, want := b.Outlook(now, ids("unknown"), 20*ms, 20*ms), 20*ms; got != want {
+		t.Errorf("without known slots: got %v, want %v", got, want)
+	}
+}
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -76,7 +76,7 @@
 	}
 	headers := platform.Headers()
 	x.balancer = balancer.New(balancer.WithOverdue(), balancer.WithForgetting(forgetTime), balancer.WithAllCandidates(),
-		balancer.WithDistance(x.distance), balancer.WithSeed(uint64(time.Now().UnixNano())))
+		balancer.WithDistance(x.distance), balancer.WithSlots(x.slots), balancer.WithSeed(uint64(time.Now().UnixNano())))
 	x.allowance = hedger.NewAllowance(cfg.ExtraLoad.Window)
 	// The slack is shared; how many share it is known once the list of instances was read.
 	x.allowance.Set(time.Now(), extraRatioPart*cfg.ExtraLoad.Ratio, 0)
@@ -129,6 +129,15 @@
 	return farFactor
 }
 
+// slots returns the part of an upstream's slots that falls to this instance.
+func (x *forwardInstance) slots(id carobbend.UpstreamID) float64 {
+	r, ok := x.fleet.Record(id)
+	if !ok {
+		return 0
+	}
+	return float64(r.Slots) / float64(x.steerer.Live())
+}
+
 func (x *forwardInstance) applyRouting(r *carobbend.Routing) bool {
 	ok := x.router.Apply(r)
 	if ok && !x.isDraining() {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -34,6 +34,8 @@
 	self      carobbend.Instance
 	ready     bool
 	instances []carobbend.Instance
+	// live is the number of instances, this one included.
+	live int
 }
 
 // SetSelf sets this instance and whether it may be named.
@@ -41,6 +43,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.self, s.ready = self, ready
+	s.count()
 }
 
 // Update replaces the list of instances.
@@ -54,17 +57,21 @@
 		}
 	}
 	slices.SortFunc(s.instances, func(a, b carobbend.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	s.count()
+}
+
+func (s *Steerer) count() {
+	s.live = len(s.instances)
+	if !slices.ContainsFunc(s.instances, func(x carobbend.Instance) bool { return x.Name == s.self.Name }) {
+		s.live++
+	}
 }
 
 // Live returns the number of instances, this one included.
 func (s *Steerer) Live() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := len(s.instances)
-	if !slices.ContainsFunc(s.instances, func(x carobbend.Instance) bool { return x.Name == s.self.Name }) {
-		n++
-	}
-	return n
+	return max(s.live, 1)
 }
 
 // Addresses returns where a caller in a data centre should connect, or false where no instance is known to serve. It
