Ask a shard that was left out where another one is lost

Change: the gather asks skipped shards as soon as too few others are left.

Ruled out: processor time and budget (4 of 176 late queries were denied by it).

Test: gatherer TestSkippedShardIsAskedAfterAll; it failed before with a failure in place of a step.

--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -180,8 +180,11 @@
 		if len(step.Ask) > 0 {
 			for _, a := range step.Ask {
 				kind := AttemptRetry
-				if a.Hedge {
+				switch {
+				case a.Hedge:
 					kind = AttemptHedge
+				case a.First:
+					kind = AttemptPrimary
 				}
 				q.attempt(ctx, now, a.Shard, kind)
 			}
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -80,8 +80,8 @@
 // Ask is a further attempt for a shard.
 type Ask struct {
 	Shard int
-	// Hedge says that another attempt is still open; otherwise the last one failed.
-	Hedge bool
+	// Hedge says that another attempt is still open, First that none was made before; otherwise the last one failed.
+	Hedge, First bool
 }
 
 // Step is the next thing to do.
@@ -98,9 +98,9 @@
 // shard is the state of one shard.
 type shard struct {
 	covered bool
-	// lost says that no further attempt will be made.
-	lost bool
-	open int
+	// lost says that no further attempt will be made, skipped that none was made although one could be.
+	lost, skipped bool
+	open          int
 	// runs counts the attempts that may have run, asked all of them.
 	runs, asked int
 	hedgeAt     time.Time
@@ -153,8 +153,27 @@
 	}
 }
 
-// Skip leaves a shard out of which nothing was sent.
-func (g *Gather) Skip(i int) { g.lose(&g.shards[i]) }
+// Skip leaves a shard out of which nothing was sent. It is asked after all where the least coverage can't be reached
+// without it.
+func (g *Gather) Skip(i int) {
+	g.shards[i].skipped = true
+	g.lose(&g.shards[i])
+}
+
+// askSkipped asks skipped shards while too few others are left.
+func (g *Gather) askSkipped() {
+	for i := range g.shards {
+		s := &g.shards[i]
+		if g.plan.Shards-g.lost >= g.need {
+			return
+		}
+		if s.skipped && s.lost {
+			s.skipped, s.lost = false, false
+			g.lost--
+			g.ask = append(g.ask, Ask{Shard: i, First: true})
+		}
+	}
+}
 
 // Denied records that an attempt couldn't be started. A hedge is tried again later; without another attempt open the
 // shard is lost.
@@ -211,6 +230,7 @@
 
 // Next returns what to do now. It is called again after the attempts that it asks for were started or denied.
 func (g *Gather) Next(now time.Time) Step {
+	g.askSkipped()
 	open := g.plan.Shards - g.covered - g.lost
 	switch {
 	case open == 0 && g.covered >= g.need:
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -95,6 +95,32 @@
 	}
 }
 
+// TestSkippedShardIsAskedAfterAll guards against queries that fail although an upstream could still be asked: the gate left
+// a slow shard out, and then another shard turns out to have no upstream.
+func TestSkippedShardIsAskedAfterAll(t *testing.T) {
+	g := New(Plan{Shards: 3, MinCoverage: 0.6, Attempts: 1, Repeatable: true, AnswerBy: at(100), Deadline: at(1000)})
+	g.Skip(0)
+	for _, i := range []int{1, 2} {
+		g.Sent(i, at(0))
+	}
+	if step := g.Next(at(0)); len(step.Ask) != 0 {
+		t.Errorf("while two shards are open: got %v, want nothing to ask", step.Ask)
+	}
+	g.Replied(1)
+	g.Failed(2, carobbend.FailureNotSent)
+	g.Next(at(1))
+	g.Denied(2, at(1))
+	step := g.Next(at(2))
+	if len(step.Ask) != 1 || step.Ask[0] != (Ask{Shard: 0, First: true}) {
+		t.Fatalf("after shard 2 was lost: got %+v, want shard 0 to be asked first", step)
+	}
+	g.Sent(0, at(2))
+	g.Replied(0)
+	if step := g.Next(at(50)); step.Action != Answer {
+		t.Errorf("after its reply: got %+v, want an answer", step)
+	}
+}
+
 // TestEndsAtOnceWhenLost guards against holding callers of an answer that can't be had any more.
 func TestEndsAtOnceWhenLost(t *testing.T) {
 	g := begin(search())
