Notice the return of a silent store within a second or so

Cause: after the store went silent, the follower's next watch asked for the usual 5 s.

Change: while the store doesn't answer, the follower asks with a wait of 200 ms and a time-out of 1.2 s; the first failed renewal of the lease makes it check a watch that is waiting. Instances in reserve keep their long waits, as they serve nobody and each call costs.

Ruled out: routings that go back (versions only rise), a slow apply (0.1 ms after the store was reached).

Tests: follower TestSilentStoreIsProbed and TestCheckEndsAWatch, both failing without their mechanism, TestCheckCostsOneCall.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -90,6 +90,7 @@
 	x.follower = follower.New(platform.NewFeed(x.store), follower.Handlers{
 		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances,
 	})
+	x.enroller.OnFailure(x.follower.Check)
 	x.steerer.SetSelf(x.self, false)
 	if steerer.NeedOf(x.self, nil) == steerer.NeedNow && steerer.Delay(x.self, steerer.NeedNow, 0) == 0 {
 		x.active.Store(true)
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -42,6 +42,7 @@
 	enabled   chan struct{}
 	enable    sync.Once
 	withdrawn atomic.Bool
+	onFailure func()
 
 	mu   sync.Mutex
 	self carobbend.Instance
@@ -55,6 +56,9 @@
 	}
 }
 
+// OnFailure sets what is called when a first call fails after others succeeded. It must be set before Run.
+func (e *Enroller) OnFailure(f func()) { e.onFailure = f }
+
 // Enable lets Run announce the instance; until then nothing is written.
 func (e *Enroller) Enable() { e.enable.Do(func() { close(e.enabled) }) }
 
@@ -122,6 +126,9 @@
 		} else if pause > 0 {
 			if failures == 0 {
 				e.log.Error(err, "announcement or renewal failed")
+				if e.onFailure != nil {
+					e.onFailure()
+				}
 			}
 			failures++
 			pause = sleeper.BackOff(failures, firstBackOff, lastBackOff)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -35,6 +35,10 @@
 	reserveCollect = 2 * time.Second
 	// watchSlack is the time that a watch may take beyond its wait.
 	watchSlack = 1500 * time.Millisecond
+	// probeWait and probeSlack take the place of watchWait and watchSlack while it is in doubt whether the store answers: a
+	// call that a silent store never answers must not outlast the outage for long. The slack leaves room for a slow store.
+	probeWait  = 200 * time.Millisecond
+	probeSlack = time.Second
 	// listTimeout bounds the reading of everything.
 	listTimeout = 2 * time.Second
 	// collect is the pause after changes, in which further ones gather for the next call.
@@ -71,6 +75,8 @@
 	scope  carobbend.FeedScope
 	// wake ends the wait for changes.
 	wake chan struct{}
+	// doubted says that another call to the store failed.
+	doubted atomic.Bool
 	// away says that the last call failed; failures counts those in a row.
 	away     bool
 	failures int
@@ -89,9 +95,20 @@
 
 // Follow changes the scope; what was known outside a narrower one is kept as it was.
 func (f *Follower) Follow(scope carobbend.FeedScope) {
-	if f.wanted.Swap(int64(scope)) == int64(scope) {
-		return
+	if f.wanted.Swap(int64(scope)) != int64(scope) {
+		f.interrupt()
+	}
+}
+
+// Check tells that another call to the store failed: a watch that is waiting may never be answered, so the store is asked
+// anew.
+func (f *Follower) Check() {
+	if !f.doubted.Swap(true) {
+		f.interrupt()
 	}
+}
+
+func (f *Follower) interrupt() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
@@ -141,29 +158,25 @@
 	if !f.synced {
 		return true, f.list(ctx)
 	}
-	wait := watchWait
-	if f.scope == carobbend.ScopeInstances {
-		wait = reserveWait
-	}
-	if f.upstreams.Held()+f.instances.Held() > 0 {
-		wait = Grace / 2
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	wait, slack := f.patience()
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
+	var interrupted atomic.Bool
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
 		select {
 		case <-f.wake:
+			interrupted.Store(true)
 			cancel()
 		case <-stop:
 		}
 	}()
 	changes, next, err := f.feed.Changes(ctx, f.scope, f.revision, wait)
-	if err != nil && carobbend.FeedScope(f.wanted.Load()) != f.scope {
-		return true, nil
-	}
 	if err != nil {
+		if interrupted.Load() {
+			return false, nil
+		}
 		return false, err
 	}
 	now := time.Now()
@@ -173,6 +186,22 @@
 	return len(changes) > 0, nil
 }
 
+// patience returns how long the next watch waits, and how long its answer may take beyond that.
+func (f *Follower) patience() (wait, slack time.Duration) {
+	doubted := f.doubted.Swap(false)
+	held := f.upstreams.Held() + f.instances.Held()
+	switch {
+	case f.scope == carobbend.ScopeAll && (f.away || doubted):
+		return probeWait, probeSlack
+	case held > 0:
+		return Grace / 2, watchSlack
+	case f.scope == carobbend.ScopeInstances:
+		return reserveWait, watchSlack
+	default:
+		return watchWait, watchSlack
+	}
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,176 @@
+package follower
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+// silentFeed is a store with outages in which calls are never answered, also after their end.
+type silentFeed struct {
+	mu      sync.Mutex
+	silent  bool
+	version uint64
+	changed chan struct{}
+	calls   int
+}
+
+func newSilentFeed() *silentFeed { return &silentFeed{version: 1, changed: make(chan struct{})} }
+
+// set changes the routing, or silences the store.
+func (f *silentFeed) set(silent bool, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+	if version != f.version {
+		f.version = version
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+func (f *silentFeed) state() (silent bool, version uint64, changed chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent, f.version, f.changed
+}
+
+func (f *silentFeed) List(ctx context.Context, _ carobbend.FeedScope) (carobbend.Listing, error) {
+	silent, v, _ := f.state()
+	if silent {
+		<-ctx.Done()
+		return carobbend.Listing{}, ctx.Err()
+	}
+	return carobbend.Listing{Revision: v, Routing: &carobbend.Routing{Version: v}}, nil
+}
+
+func (f *silentFeed) Changes(
+	ctx context.Context, _ carobbend.FeedScope, after uint64, wait time.Duration,
+) ([]carobbend.FeedChange, uint64, error) {
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		silent, v, changed := f.state()
+		switch {
+		case silent:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		case v > after:
+			return []carobbend.FeedChange{{Routing: &carobbend.Routing{Version: v}}}, v, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if silent, _, _ := f.state(); !silent {
+				return nil, after, nil
+			}
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// run follows a feed in a synctest bubble while f runs; version returns the routing that was seen last.
+func run(t *testing.T, f func(feed *silentFeed, follower *Follower, version func() uint64)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		feed := newSilentFeed()
+		var mu sync.Mutex
+		var last uint64
+		fo := New(feed, Handlers{
+			Routing: func(r *carobbend.Routing) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				last = r.Version
+				return true
+			},
+			Upstreams: func(map[string]carobbend.UpstreamRecord) {},
+			Instances: func(map[string]carobbend.Instance) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if err := fo.Run(ctx); err == nil {
+				t.Error("run: got no error, want that of the context")
+			}
+		}()
+		time.Sleep(time.Second)
+		f(feed, fo, func() uint64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return last
+		})
+		cancel()
+		<-done
+	})
+}
+
+// applyBound is the time within which a routing must be in force after the store acknowledged it.
+const applyBound = 3 * time.Second
+
+// TestSilentStoreIsProbed guards against a routing that comes late after an outage: a long watch that began while the store
+// was silent is never answered.
+func TestSilentStoreIsProbed(t *testing.T) {
+	for _, outage := range []time.Duration{7 * time.Second, 9 * time.Second, 12 * time.Second, 15 * time.Second} {
+		run(t, func(feed *silentFeed, _ *Follower, version func() uint64) {
+			feed.set(true, 1)
+			time.Sleep(outage)
+			feed.set(false, 2)
+			time.Sleep(applyBound)
+			if got := version(); got != 2 {
+				t.Errorf("%v after an outage of %v: got routing %d, want 2", applyBound, outage, got)
+			}
+		})
+	}
+}
+
+// TestCheckEndsAWatch guards against a routing that comes late after a short outage: the watch that was waiting when it
+// began ends seconds later, while other calls have failed already.
+func TestCheckEndsAWatch(t *testing.T) {
+	for _, outage := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+		run(t, func(feed *silentFeed, f *Follower, version func() uint64) {
+			feed.set(true, 1)
+			time.Sleep(time.Second)
+			// The silence reaches the watch that waits.
+			feed.mu.Lock()
+			close(feed.changed)
+			feed.changed = make(chan struct{})
+			feed.mu.Unlock()
+			f.Check()
+			time.Sleep(outage - time.Second)
+			feed.set(false, 2)
+			time.Sleep(applyBound)
+			if got := version(); got != 2 {
+				t.Errorf("%v after an outage of %v: got routing %d, want 2", applyBound, outage, got)
+			}
+		})
+	}
+}
+
+// TestCheckCostsOneCall guards against calls in a loop where another call fails although the watch is sound.
+func TestCheckCostsOneCall(t *testing.T) {
+	run(t, func(feed *silentFeed, f *Follower, version func() uint64) {
+		before := feed.calls
+		f.Check()
+		time.Sleep(time.Second)
+		feed.mu.Lock()
+		got := feed.calls - before
+		feed.mu.Unlock()
+		if got > 2 {
+			t.Errorf("got %d calls within a second, want a probe and a watch", got)
+		}
+		feed.set(false, 2)
+		time.Sleep(time.Second)
+		if got := version(); got != 2 {
+			t.Errorf("got routing %d, want 2", got)
+		}
+	})
+}
