Bound watches by 3 s, so that one that hears nothing is noticed in time

Change: a watch waits 3 s instead of 5 s, which with the pause before it stays below the 4 s in which an instance may be behind.

Ruled out: stale reads (none of our reads is serializable), a lost connection (no time-out was logged).

Test: follower TestDeafWatch, which failed at 5 s.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -26,9 +26,9 @@
 	// Grace is how long removals are held back after the store's return; owners that live write their entries again
 	// within about this time.
 	Grace = 2 * time.Second
-	// watchWait bounds one watch. A quiet watch costs a call, a lost one is noticed this much later at the worst; TCP
-	// keep-alive notices most of them before.
-	watchWait = 5 * time.Second
+	// watchWait bounds one watch. A quiet watch costs a call. A watch that hears nothing, since the store drops its history
+	// or the connection is lost, is noticed this much later at the worst; 5 s left an old routing in force for too long.
+	watchWait = 3 * time.Second
 	// reserveWait and reserveCollect take the place of watchWait and collect while only the list of instances is followed:
 	// an instance in reserve has time, and there may be many.
 	reserveWait    = 30 * time.Second
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,8 +13,10 @@
 
 // silentFeed is a store with outages in which calls are never answered, also after their end.
 type silentFeed struct {
-	mu      sync.Mutex
-	silent  bool
+	mu     sync.Mutex
+	silent bool
+	// deaf says that watches hear nothing and then learn that the history is gone.
+	deaf    bool
 	version uint64
 	changed chan struct{}
 	calls   int
@@ -39,6 +42,12 @@
 	return f.silent, f.version, f.changed
 }
 
+func (f *silentFeed) isDeaf() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.deaf
+}
+
 func (f *silentFeed) List(ctx context.Context, _ carobbend.FeedScope) (carobbend.Listing, error) {
 	silent, v, _ := f.state()
 	if silent {
@@ -62,12 +71,19 @@
 		case silent:
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
-		case v > after:
+		case v > after && !f.isDeaf():
 			return []carobbend.FeedChange{{Routing: &carobbend.Routing{Version: v}}}, v, nil
 		}
+		deaf := f.isDeaf()
+		if deaf {
+			changed = nil
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			if deaf {
+				return nil, 0, &carobbend.StoreError{Kind: carobbend.StoreCompacted, Err: errors.New("history gone")}
+			}
 			if silent, _, _ := f.state(); !silent {
 				return nil, after, nil
 			}
@@ -155,6 +171,24 @@
 	}
 }
 
+// stableTime is the time after the end of a disturbance of the store in which an instance may be behind.
+const stableTime = 4 * time.Second
+
+// TestDeafWatch guards against a routing that comes late since the watch hears nothing until its end: the store drops its
+// history while a change is made.
+func TestDeafWatch(t *testing.T) {
+	run(t, func(feed *silentFeed, _ *Follower, version func() uint64) {
+		feed.mu.Lock()
+		feed.deaf = true
+		feed.mu.Unlock()
+		feed.set(false, 2)
+		time.Sleep(stableTime)
+		if got := version(); got != 2 {
+			t.Errorf("%v after the history was dropped: got routing %d, want 2", stableTime, got)
+		}
+	})
+}
+
 // TestCheckCostsOneCall guards against calls in a loop where another call fails although the watch is sound.
 func TestCheckCostsOneCall(t *testing.T) {
 	run(t, func(feed *silentFeed, f *Follower, version func() uint64) {
