--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -35,8 +35,8 @@
 // upstream slower than any latency target.
 const leastSuccess = 0.02
 
-// ownPart is the number of requests that other instances have at an upstream for each of this one's, as a part of what
-// equal shares would give. Chance makes an instance with many requests there the exception; 1 foresaw queues that weren't.
+// ownPart is the weight of this instance's requests in flight where they stand for those of all instances. With 1, an
+// instance that has more requests at an upstream than the others by chance foresees queues that aren't there.
 const ownPart = 0.5
 
 // referenceLatency is the latency to which those of requests with a usual latency are scaled.
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// OnFailure sets what is called when a first call fails after others succeeded. It must be set before Run.
+// OnFailure sets what is called at the first of failed calls in a row. It must be set before Run.
 func (e *Enroller) OnFailure(f func()) { e.onFailure = f }
 
 // Enable lets Run announce the instance; until then nothing is written.
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 	logBurst    = 50
 )
 
+// maxMissing is the number of shards without a reply that a line names.
+const maxMissing = 3
+
 // requestLog writes one line for a request, at a bounded rate; a line states how many were left out before it.
 type requestLog struct {
 	log     logger.Logger
@@ -51,6 +55,9 @@
 		kv = append(kv, "covered", q.gather.Covered(), "needed", q.gather.Need(), "shards", len(q.services),
 			"hedges", q.hedges, "retries", q.retries, "skips", q.skips, "left-ms", time.Until(q.deadline).Milliseconds())
 	}
+	if missing := q.missing(); missing != "" {
+		kv = append(kv, "missing", missing)
+	}
 	if q.lastKind != "" {
 		kv = append(kv, "last-failure", q.lastKind)
 	}
@@ -62,3 +69,23 @@
 	}
 	l.log.Info("request ended", kv...)
 }
+
+// missing names the first shards without a reply as service/upstream, by the upstream that was asked last, or as
+// service/none where none was asked.
+func (q *query) missing() string {
+	if q.gather == nil || !q.fansOut() {
+		return ""
+	}
+	var names []string
+	for i, p := range q.parts {
+		if p != nil || len(names) == maxMissing {
+			continue
+		}
+		last := "none"
+		if n := len(q.asked[i]); n > 0 {
+			last = string(q.asked[i][n-1])
+		}
+		names = append(names, q.services[i]+"/"+last)
+	}
+	return strings.Join(names, ",")
+}
--- a/hedger/allowance.go
+++ b/hedger/allowance.go
@@ -45,7 +45,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ratio, slack = max(ratio, 0), max(slack, 0)
-	a.slackFrom, a.slackTo, a.slackAt = min(a.slack(now), slack), slack, now
+	if slack != a.slackTo {
+		a.slackFrom, a.slackTo, a.slackAt = min(a.slack(now), slack), slack, now
+	}
 }
 
 // slack returns the slack that holds now.
@@ -84,8 +86,9 @@
 	return true
 }
 
+// length returns the window, which has to divide into cells.
 func (a *Allowance) length() time.Duration {
-	if a.window <= 0 {
+	if a.window < cells {
 		return defaultWindow
 	}
 	return a.window
--- a/hedger/allowance_test.go
+++ b/hedger/allowance_test.go
@@ -46,6 +46,8 @@
 	if got := spend(epoch); got != 0 {
 		t.Errorf("at the start: got %d, want 0", got)
 	}
+	// An update that changes nothing must not put the growth off.
+	a.Set(epoch.Add(2*time.Second), 0, 50)
 	if got := spend(epoch.Add(5 * time.Second)); got != 25 {
 		t.Errorf("after half a window: got %d, want 25", got)
 	}
@@ -71,6 +73,9 @@
 	if !a.Spend(epoch, "asked") || a.Spend(epoch, "asked") || !a.Spend(epoch, "other") || a.Spend(epoch, "unknown") {
 		t.Error("got another number than one extra request for each request")
 	}
+	if short := NewAllowance(time.Nanosecond); short.Spend(epoch, "s") {
+		t.Error("window that can't be divided: got an extra request, want none")
+	}
 	if (&Allowance{}).Spend(epoch, "s") {
 		t.Error("zero value: got an extra request, want none")
 	}
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -44,14 +44,15 @@
 	Ratio float64 `yaml:"ratio" validate:"gte=0,lte=1"`
 	// Slack is the number of extra requests that are allowed besides.
 	Slack int `yaml:"slack" validate:"gte=0"`
-	// Window is the time over which extra requests are counted; 0 means 10 s.
-	Window time.Duration `yaml:"window" validate:"gte=0"`
+	// Window is the time over which extra requests are counted.
+	Window time.Duration `yaml:"window" validate:"gte=1000000000"`
 }
 
 // Defaults of Forward.
 const (
-	defaultLease     = 2500 * time.Millisecond
-	defaultStopGrace = 6 * time.Second
+	defaultLease       = 2500 * time.Millisecond
+	defaultStopGrace   = 6 * time.Second
+	defaultExtraWindow = 10 * time.Second
 )
 
 // ApplyDefaults fills fields that the file leaves out.
@@ -62,6 +63,9 @@
 	if s.StopGrace == 0 {
 		s.StopGrace = defaultStopGrace
 	}
+	if s.ExtraLoad.Window == 0 {
+		s.ExtraLoad.Window = defaultExtraWindow
+	}
 }
 
 func (s *Forward) check() error { return validate(s) }
--- a/settings/forward_test.go
+++ b/settings/forward_test.go
@@ -35,6 +35,7 @@
 		{"missing", "instance: edge-1", "instance: \"\"", "instance", 1},
 		{"name in place of an address", "127.0.0.1:8500", "store.example:80", "store", 7},
 		{"out of range", "ratio: 0.2", "ratio: 2", "extra-load.ratio", 10},
+		{"short window", "  slack: 52", "  slack: 52\n  window: 5ns", "extra-load.window", 12},
 		{"negative", "cores: 0.4", "cores: -1", "cores", 8},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -44,7 +45,7 @@
 			}
 			got, err := LoadForward(file)
 			if c.line == 0 {
-				if err != nil || got.Lease != 2500*time.Millisecond || got.StopGrace != 6*time.Second {
+				if err != nil || got.Lease != 2500*time.Millisecond || got.StopGrace != 6*time.Second || got.ExtraLoad.Window != 10*time.Second {
 					t.Errorf("got %+v, %v, want the defaults", got, err)
 				}
 				return
