Bound what an upstream's reply may take, and the memory of requests in flight

Cause: http.ReadResponse reads heads without a limit, and bodies of callers and replies were read whole with no bound on how many at once. One reply with an endless header line grew the process to 2 GB; replies over 1 MiB were refused. A reply without an id on a connection that was used before was taken for the request's own: a late copy of an earlier reply could become the next caller's answer, and a late refusal could make a request that ran look as if it hadn't.

Ruled out: a deadline alone (it leaves seconds of reading at the speed of the link); http.Transport's limits (that client resends by itself).

Change: the connection is read through bounds on head bytes, head lines, interim replies and body bytes with their framing (failure kind oversized, one log line, counted by kind). Bodies over 32 KiB are passed on piece by piece and broken off where the upstream breaks off; long parts are reduced to their greatest records while they are read. Memory is reserved before a request is read; what doesn't fit is refused as not run. The other readers (store, list, serve's upstreams and peers) get the same bound on reply heads; their bodies had one.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -171,6 +171,9 @@
 	scale   float64
 }
 
+// Upstream returns where the request was sent.
+func (r Request) Upstream() carobbend.UpstreamID { return r.id }
+
 // Begin records that a request to id was started. usual is the usual latency of its kind of request, by which the
 // latencies of different kinds are made comparable; 0 takes them as they are.
 func (b *Balancer) Begin(now time.Time, id carobbend.UpstreamID, usual time.Duration) Request {
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -16,6 +16,7 @@
 	"carobbend.example/carobbend/follower"
 	"carobbend.example/carobbend/forwarder"
 	"carobbend.example/carobbend/hedger"
+	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/meter"
 	"carobbend.example/carobbend/platform"
@@ -35,6 +36,8 @@
 	forgetTime = time.Second
 	// memoryPart is the part of the memory that the runtime may use before it collects garbage more often.
 	memoryPart = 0.6
+	// requestMemoryPart is the part of the memory that the requests in flight may hold.
+	requestMemoryPart = 0.3
 )
 
 // forwardInstance is one forwarding instance with all its parts.
@@ -84,6 +87,7 @@
 	x.forwarder = forwarder.New(forwarder.Config{
 		Headers: headers, Router: &x.router, Fleet: &x.fleet, Balancer: x.balancer, Exchanger: x.exchanger,
 		Allowance: x.allowance, Hedger: hedger.New(), Instances: x.steerer.Live,
+		Memory: limiter.NewBytes(int64(requestMemoryPart * float64(cfg.MemoryMB) * (1 << 20))),
 	})
 	x.store = platform.NewStore(cfg.Store)
 	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -22,6 +22,9 @@
 const (
 	// idleTimeout is longer than callers reuse idle connections, so that they never cross a close.
 	idleTimeout = time.Minute
+	// maxHeaderBytes bounds the headers of a request in bytes. The server's default of 1 MB for each connection is more
+	// than the memory of an instance.
+	maxHeaderBytes = 256 << 10
 	// headerTimeout bounds the time for reading the headers of a request.
 	headerTimeout = 10 * time.Second
 	// acceptPart is the part of the time to the kill in which a draining instance accepts work, exitPart that after
@@ -39,7 +42,7 @@
 	var g oklogrun.Group
 	callers := &http.Server{
 		Handler: x.forwarder, ConnContext: forwarder.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: serverLog(),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog(),
 	}
 	if err := x.serve(&g, x.cfg.Listen.Callers, callers); err != nil {
 		return err
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -53,12 +53,13 @@
 	protocols.SetHTTP1(c.protocol != ProtocolHTTP2)
 	protocols.SetUnencryptedHTTP2(c.protocol == ProtocolHTTP2)
 	p.transport = &http.Transport{
-		DialContext:         p.dial,
-		Protocols:           protocols,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: up.Connections,
-		IdleConnTimeout:     idleTimeout,
-		HTTP2:               &http.HTTP2Config{SendPingTimeout: c.progress, PingTimeout: c.progress},
+		DialContext:            p.dial,
+		MaxResponseHeaderBytes: carobbend.MaxHeadBytes,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    up.Connections,
+		IdleConnTimeout:        idleTimeout,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: c.progress, PingTimeout: c.progress},
 	}
 	return p
 }
--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -1,15 +1,11 @@
 package exchanger
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,15 +17,9 @@
 // StatusMisdirected is the status with which another upstream under the target's address refuses.
 const StatusMisdirected = http.StatusMisdirectedRequest
 
-const (
-	// maxSkipped is the number of replies to other requests that are skipped before a connection is given up.
-	maxSkipped = 2
-	// inlineBody is the size in bytes up to which a body is written before the reply is read. Longer ones are written
-	// at the same time, since an upstream may reply before it has read them.
-	inlineBody = 4096
-	// maxBuffered is the size in bytes up to which a reply's body is read whole.
-	maxBuffered = 1 << 20
-)
+// inlineBody is the size in bytes up to which a body is written before the reply is read. Longer ones are written at the
+// same time, since an upstream may reply before it has read them.
+const inlineBody = 4096
 
 // Error is the error type of this package.
 type Error struct {
@@ -71,30 +61,8 @@
 	HasBody bool
 	// Deadline is the time at which the reply is of no use.
 	Deadline time.Time
-}
-
-// Reply is a complete reply.
-type Reply struct {
-	Status int
-	Header http.Header
-	Body   []byte
-	// NotRun says that the upstream states that it didn't run the request.
-	NotRun bool
-	// Load is the reported load; valid if HasLoad.
-	Load    Load
-	HasLoad bool
-}
-
-// Load is what an upstream reports of itself.
-type Load struct {
-	Running, Waiting, Slots int
-	// Slowness is the time that work takes now over the usual time, 1 where it isn't reported.
-	Slowness float64
-}
-
-// Utilization returns running and waiting requests per slot.
-func (l Load) Utilization() float64 {
-	return float64(l.Running+l.Waiting) / float64(max(l.Slots, 1))
+	// Reduce returns what takes the place of a long body; nil leaves the rest of one to be read from Reply.Rest.
+	Reduce func() Reducer
 }
 
 // Attempt is one request to one upstream.
@@ -106,6 +74,8 @@
 	mu       sync.Mutex
 	conn     *conn
 	canceled bool
+	// handedOver says that the reply's reader gives the connection back, and no longer Do.
+	handedOver bool
 }
 
 // Attempt returns an attempt that ends with ctx or Cancel.
@@ -119,10 +89,13 @@
 func (a *Attempt) Cancel() {
 	a.mu.Lock()
 	a.canceled = true
-	c := a.conn
+	c, handedOver := a.conn, a.handedOver
 	a.mu.Unlock()
 	a.cancel()
-	if c != nil {
+	switch {
+	case handedOver:
+		a.finish(false)
+	case c != nil:
 		c.close()
 	}
 }
@@ -131,15 +104,46 @@
 func (a *Attempt) own(c *conn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.canceled {
+		return false
+	}
 	a.conn = c
-	return !a.canceled || c == nil
+	return true
+}
+
+// handOver leaves the connection to the reader of the reply's rest, or returns false where the attempt was canceled.
+func (a *Attempt) handOver() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.handedOver = !a.canceled
+	return a.handedOver
+}
+
+// finish gives the attempt's connection back, once.
+func (a *Attempt) finish(reusable bool) {
+	a.mu.Lock()
+	c := a.conn
+	a.conn = nil
+	a.mu.Unlock()
+	if c != nil {
+		c.pool.release(c, reusable)
+		a.cancel()
+	}
 }
 
-// Do sends the request and returns the whole reply. An error is an *Error: not-sent says that no byte was written,
-// canceled that Cancel ended it, deadline that the request's time was over, identity that only replies to other
-// requests came, and broken that the connection or the reply broke.
+// Do sends the request and returns the reply, whose Rest has to be read to its end or closed where it isn't nil. An error
+// is an *Error: not-sent says that no byte was written, canceled that Cancel ended it, deadline that the request's time
+// was over, identity that only replies to other requests came, oversized that the reply exceeded a bound, and broken that the
+// connection or the reply broke.
 func (a *Attempt) Do(t Target, r *Request) (*Reply, error) {
-	defer a.cancel()
+	reply, err := a.do(t, r)
+	if err != nil || reply.Rest == nil {
+		a.cancel()
+	}
+	return reply, err
+}
+
+func (a *Attempt) do(t Target, r *Request) (*Reply, error) {
 	p := a.x.pool(t)
 	ctx, cancel := context.WithDeadline(a.ctx, r.Deadline)
 	defer cancel()
@@ -159,12 +163,18 @@
 		return nil, a.fail("send", carobbend.FailureNotSent, context.Canceled)
 	}
 	reply, reusable, err := a.exchange(c, t, r)
-	a.own(nil)
-	p.release(c, reusable && err == nil)
-	return reply, err
+	if err != nil || reply.Rest == nil {
+		a.finish(reusable)
+		return reply, err
+	}
+	if !a.handOver() {
+		a.finish(false)
+		return nil, a.fail("read reply", carobbend.FailureCanceled, context.Canceled)
+	}
+	return reply, nil
 }
 
-// exchange writes the request and reads its reply.
+// exchange writes the request and reads its reply; it reports whether the connection can be used again.
 func (a *Attempt) exchange(c *conn, t Target, r *Request) (*Reply, bool, error) {
 	left := time.Until(r.Deadline)
 	if left < time.Millisecond {
@@ -177,18 +187,30 @@
 	if err != nil {
 		return nil, false, err
 	}
-	reply, reusable, err := a.read(c, r)
+	m, clean, err := a.readHead(c, r)
 	if err != nil {
 		return nil, false, err
 	}
-	select {
-	case werr := <-written:
-		reusable = reusable && werr == nil
-	default:
-		// The upstream replied before it read the whole body. Nothing else may follow on this connection.
-		reusable = false
+	reusable := func() bool {
+		select {
+		case werr := <-written:
+			return clean && werr == nil && m.persistent && c.endReply(m)
+		default:
+			// The upstream replied before it read the whole body. Nothing else may follow on this connection.
+			return false
+		}
+	}
+	reply := a.x.reply(m)
+	body, whole, err := c.readBody(m, r, a.x.maxReply)
+	if err != nil {
+		return nil, false, a.fail("read reply", carobbend.FailureBroken, err)
+	}
+	reply.Body = body
+	if !whole {
+		reply.Rest = &rest{Reader: m.Body, attempt: a, reusable: reusable}
+		return reply, false, nil
 	}
-	return reply, reusable, nil
+	return reply, reusable(), nil
 }
 
 // write sends the head and a short body at once and a long body in the background; the channel receives its result.
@@ -219,75 +241,22 @@
 	return written, nil
 }
 
-// read reads replies until one belongs to the request.
-func (a *Attempt) read(c *conn, r *Request) (*Reply, bool, error) {
-	clean := true
-	for range maxSkipped + 1 {
-		m, err := readMessage(c.r, r.Method)
+// readHead reads replies until one belongs to the request, and returns it with its body unread. It reports whether it
+// came first.
+func (a *Attempt) readHead(c *conn, r *Request) (message, bool, error) {
+	for skipped := range maxSkipped + 1 {
+		m, err := c.readHead(r.Method)
 		if err != nil {
-			return nil, false, a.fail("read reply", carobbend.FailureBroken, err)
+			return message{}, false, a.fail("read reply", carobbend.FailureBroken, err)
 		}
-		if m.status < http.StatusOK {
-			continue
+		if a.x.isOwn(m.Header, r, c) {
+			return m, skipped == 0, nil
 		}
-		if id := m.header.Get(a.x.headers.RequestID); id != "" && id != r.ID {
-			clean = false
-			continue
+		if err := c.skip(m); err != nil {
+			return message{}, false, a.fail("read reply", carobbend.FailureIdentity, errorx.Decorate(errForeignReply, "%v", err))
 		}
-		reply := &Reply{Status: m.status, Header: m.header, Body: m.body}
-		reply.NotRun = m.header.Get(a.x.headers.NotRun) != "" || m.status == StatusMisdirected
-		reply.Load, reply.HasLoad = parseLoad(m.header.Get(a.x.headers.Load))
-		reusable := clean && m.reusable && c.r.Buffered() == 0
-		if reusable {
-			c.idleUntil = time.Now().Add(idleTime(m.header.Get("Keep-Alive")))
-		}
-		return reply, reusable, nil
 	}
-	return nil, false, a.fail("read reply", carobbend.FailureIdentity, errForeignReply)
-}
-
-var (
-	errForeignReply = errors.New("only replies to other requests arrived")
-	errLongReply    = errors.New("the reply is longer than allowed")
-)
-
-// message is a reply as it was read.
-type message struct {
-	status int
-	header http.Header
-	body   []byte
-	// reusable says that the connection stays open after it.
-	reusable bool
-}
-
-// readMessage reads a reply with its whole body.
-func readMessage(r *bufio.Reader, method string) (message, error) {
-	resp, err := http.ReadResponse(r, &http.Request{Method: method})
-	if err != nil {
-		return message{}, err
-	}
-	// The body is read to its end, so closing it can't fail.
-	defer func() { _ = resp.Body.Close() }()
-	m := message{status: resp.StatusCode, header: resp.Header}
-	m.reusable = !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
-	m.body, err = readBody(resp)
-	return m, err
-}
-
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > maxBuffered {
-		return nil, errLongReply
-	}
-	if resp.ContentLength >= 0 {
-		b := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, b)
-		return b, err
-	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
-	if err == nil && len(b) > maxBuffered {
-		err = errLongReply
-	}
-	return b, err
+	return message{}, false, a.fail("read reply", carobbend.FailureIdentity, errForeignReply)
 }
 
 // fail returns the error of this package for err. A cancel counts as such at any time, since it says nothing about the
@@ -298,43 +267,10 @@
 	case a.ctx.Err() != nil:
 		kind = carobbend.FailureCanceled
 	case kind == carobbend.FailureNotSent:
+	case isOversized(err):
+		kind = carobbend.FailureOversized
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &ne) && ne.Timeout():
 		kind = carobbend.FailureDeadline
 	}
 	return &Error{Op: op, Kind: kind, Err: errorx.Decorate(err, "exchange")}
 }
-
-// parseLoad reads "running,waiting,slots" and a fourth figure, the slowness in percent.
-func parseLoad(s string) (Load, bool) {
-	if s == "" {
-		return Load{}, false
-	}
-	var n [4]int
-	n[3] = 100
-	parts := strings.Split(s, ",")
-	if len(parts) < 3 {
-		return Load{}, false
-	}
-	for i, p := range parts[:min(len(parts), 4)] {
-		v, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || v < 0 {
-			return Load{}, false
-		}
-		n[i] = v
-	}
-	return Load{Running: n[0], Waiting: n[1], Slots: n[2], Slowness: float64(n[3]) / 100}, true
-}
-
-// idleTime returns how long a connection may be idle, from the value of a Keep-Alive header.
-func idleTime(s string) time.Duration {
-	for f := range strings.SplitSeq(s, ",") {
-		v, ok := strings.CutPrefix(strings.TrimSpace(f), "timeout=")
-		if !ok {
-			continue
-		}
-		if n, err := strconv.Atoi(v); err == nil && n >= 0 {
-			return max(time.Duration(n)*time.Second-idleMargin, 0)
-		}
-	}
-	return defaultIdle
-}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -3,7 +3,8 @@
 // http.Transport doesn't fit requests that may run once: it resends by itself, and doesn't tell whether a byte was
 // written. Here each attempt is written at most once, and its error says whether the upstream may have run it. A reply
 // belongs to the attempt whose request id it repeats; replies with another id are skipped, and a connection on which
-// anything unexpected was read isn't used again.
+// anything unexpected was read isn't used again. The head, the interim replies and the body of a reply are bounded, so that
+// an upstream which sends without end costs little memory; long bodies are read piece by piece.
 //
 // # Usage
 //
@@ -60,10 +61,14 @@
 // WithConnectTimeout bounds the time for opening a connection.
 func WithConnectTimeout(d time.Duration) Option { return func(x *Exchanger) { x.connectTimeout = d } }
 
+// WithMaxReply bounds the body of a reply in bytes, with all framing. An attempt fails at the bound.
+func WithMaxReply(n int64) Option { return func(x *Exchanger) { x.maxReply = n } }
+
 // Exchanger holds a pool of connections to each upstream. It is safe for concurrent use.
 type Exchanger struct {
 	headers        Headers
 	connectTimeout time.Duration
+	maxReply       int64
 
 	opened atomic.Int64
 	open   atomic.Int64
@@ -74,7 +79,9 @@
 
 // New returns an exchanger without connections.
 func New(h Headers, opts ...Option) *Exchanger {
-	x := &Exchanger{headers: h, connectTimeout: defaultConnectTimeout, pools: map[carobbend.UpstreamID]*pool{}}
+	x := &Exchanger{
+		headers: h, connectTimeout: defaultConnectTimeout, maxReply: defaultMaxReply, pools: map[carobbend.UpstreamID]*pool{},
+	}
 	for _, o := range opts {
 		o(x)
 	}
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -31,8 +31,11 @@
 // conn is one connection; it serves one request at a time.
 type conn struct {
 	net.Conn
+	wire wire
 	r    *bufio.Reader
 	pool *pool
+	// served is the number of replies read so far.
+	served int
 	// idleUntil is the time after which it isn't used again.
 	idleUntil time.Time
 	closed    sync.Once
@@ -123,7 +126,10 @@
 	}
 	p.x.opened.Add(1)
 	p.x.open.Add(1)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBuffer), pool: p}, nil
+	c := &conn{Conn: nc, pool: p}
+	c.wire.r = nc
+	c.r = bufio.NewReaderSize(&c.wire, readBuffer)
+	return c, nil
 }
 
 // retire closes the idle connections and lets none become idle again.
--- /dev/null
+++ b/forwarder/body.go
@@ -0,0 +1,90 @@
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"carobbend.example/carobbend/limiter"
+)
+
+const (
+	// bodyTimeout bounds the time for reading a caller's body.
+	bodyTimeout = 10 * time.Second
+	// requestBytes and shardBytes are the memory in bytes that is reserved for a request and for each shard that it is
+	// asked of: goroutines, buffers, heads, and the parts of bodies that are held whole.
+	requestBytes = 64 << 10
+	shardBytes   = 8 << 10
+	// bodyStep is the number of bytes by which the reservation for a body of unknown length grows.
+	bodyStep = 32 << 10
+	// growthFactor is the memory that a body of unknown length takes at most while it is read, as a multiple of its length:
+	// the buffer is copied into one of twice its size.
+	growthFactor = 3
+)
+
+var errNoMemory = errors.New("the requests in flight hold all memory")
+
+// readBody reads the whole body, so that an attempt may be repeated and the caller's leaving is noticed.
+func readBody(w http.ResponseWriter, r *http.Request, limit int, held *limiter.Reservation) ([]byte, *refusal) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	tooLong := &refusal{
+		status: http.StatusRequestEntityTooLarge, outcome: OutcomeInvalid,
+		reason: "the body is longer than " + strconv.Itoa(limit) + " bytes",
+	}
+	if limit > 0 && r.ContentLength > int64(limit) {
+		return nil, tooLong
+	}
+	// A deadline can't be set on all kinds of connections; the server's own then holds.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	body := r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(w, r.Body, int64(limit))
+	}
+	b, err := readReserved(body, r.ContentLength, held)
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var long *http.MaxBytesError
+	switch {
+	case err == nil:
+		return b, nil
+	case errors.Is(err, errNoMemory):
+		return nil, noMemory()
+	case errors.As(err, &long):
+		return nil, tooLong
+	case r.Context().Err() != nil:
+		return nil, &refusal{http.StatusBadRequest, OutcomeGone, "the caller left", 0}
+	default:
+		return nil, &refusal{http.StatusRequestTimeout, OutcomeNotRun, "the body didn't arrive in time", 0}
+	}
+}
+
+// readReserved reads a body of n bytes, -1 where the length isn't known, after it has reserved memory for it.
+func readReserved(r io.Reader, n int64, held *limiter.Reservation) ([]byte, error) {
+	if n >= 0 {
+		if !held.Grow(n) {
+			return nil, errNoMemory
+		}
+		b := make([]byte, n)
+		_, err := io.ReadFull(r, b)
+		return b, err
+	}
+	var b []byte
+	for {
+		if !held.Grow(growthFactor * bodyStep) {
+			return nil, errNoMemory
+		}
+		step, err := io.ReadAll(io.LimitReader(r, bodyStep))
+		b = append(b, step...)
+		if err != nil || len(step) < bodyStep {
+			return b, err
+		}
+	}
+}
+
+// noMemory is the refusal of a request that doesn't fit into the memory beside those in flight.
+func noMemory() *refusal {
+	return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, errNoMemory.Error(), retryAfter}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,8 +16,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,7 +25,9 @@
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/gatherer"
 	"carobbend.example/carobbend/hedger"
+	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/router"
 )
@@ -35,8 +35,6 @@
 const (
 	// defaultTimeout bounds requests of callers that state no deadline, on routes without a time-out.
 	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the time for reading a caller's body.
-	bodyTimeout = 10 * time.Second
 	// retryAfter is the time after which a refused caller has a fair chance.
 	retryAfter = 100 * time.Millisecond
 	// unboundedConns stands for a service without a limit on connections.
@@ -107,6 +105,8 @@
 	Allowance *hedger.Allowance
 	// Hedger learns the latency of attempts by route.
 	Hedger carobbend.Hedger
+	// Memory bounds what the requests in flight hold; nil bounds nothing.
+	Memory *limiter.Bytes
 	// Recorder may be nil.
 	Recorder Recorder
 	// Instances returns the number of live instances, by which connections are shared.
@@ -132,6 +132,9 @@
 	if f.instances == nil {
 		f.instances = func() int { return 1 }
 	}
+	if f.Memory == nil {
+		f.Memory = &limiter.Bytes{}
+	}
 	return f
 }
 
@@ -154,6 +157,7 @@
 	}
 	q := &query{f: f, began: began, id: r.Header.Get(f.Headers.RequestID), way: wayTime(r.Context())}
 	refusal := f.prepare(q, w, r)
+	defer q.release()
 	if refusal == nil {
 		q.serve(w, r)
 	} else {
@@ -163,6 +167,10 @@
 	if f.Recorder != nil {
 		f.Recorder.Answered(q.routeName(), q.outcome, time.Since(began))
 	}
+	if q.broken {
+		// The server then closes the connection without the end of the answer.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // refusal is an answer of this instance's own.
@@ -202,13 +210,21 @@
 		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, lacking, retryAfter}
 	}
 	q.deadline = q.began.Add(timeLeft(r.Header.Get(f.Headers.Deadline), route.Timeout))
-	body, refused := readBody(w, r, t.Limits().BodyBytes)
+	held, ok := f.Memory.Reserve(requestBytes + int64(len(q.services))*shardBytes)
+	if !ok {
+		return noMemory()
+	}
+	q.held = held
+	body, refused := readBody(w, r, t.Limits().BodyBytes, held)
 	if refused != nil {
 		return refused
 	}
 	q.request = exchanger.Request{
 		Method: r.Method, URI: uri, Host: r.Host, ID: q.id, Body: body, HasBody: hasBody(r), Deadline: q.deadline,
 	}
+	if q.fansOut() {
+		q.request.Reduce = func() exchanger.Reducer { return gatherer.NewSelector(route.Records) }
+	}
 	f.Exchanger.PassOn(r.Header, func(name, value string) {
 		q.request.Header = append(q.request.Header, name+": "+value+"\r\n"...)
 	})
@@ -260,39 +276,6 @@
 	return r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
 }
 
-// readBody reads the whole body, so that an attempt may be repeated and the caller's leaving is noticed.
-func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *refusal) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	tooLong := &refusal{
-		status: http.StatusRequestEntityTooLarge, outcome: OutcomeInvalid,
-		reason: "the body is longer than " + strconv.Itoa(limit) + " bytes",
-	}
-	if limit > 0 && r.ContentLength > int64(limit) {
-		return nil, tooLong
-	}
-	// A deadline can't be set on all kinds of connections; the server's own then holds.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	body := r.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(w, r.Body, int64(limit))
-	}
-	b, err := io.ReadAll(body)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var long *http.MaxBytesError
-	switch {
-	case err == nil:
-		return b, nil
-	case errors.As(err, &long):
-		return nil, tooLong
-	case r.Context().Err() != nil:
-		return nil, &refusal{http.StatusBadRequest, OutcomeGone, "the caller left", 0}
-	default:
-		return nil, &refusal{http.StatusRequestTimeout, OutcomeNotRun, "the body didn't arrive in time", 0}
-	}
-}
-
 // end answers a request by this instance itself.
 func (q *query) end(w http.ResponseWriter, r *refusal) {
 	q.outcome, q.reason = r.outcome, r.reason
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/logger"
 )
 
@@ -70,6 +71,15 @@
 	l.log.Info("request ended", kv...)
 }
 
+// oversized tells that an upstream sent more than a reply may hold.
+func (l requestLog) oversized(id, service string, upstream carobbend.UpstreamID, err error) {
+	if !l.trouble.Allow() {
+		l.skipped.Add(1)
+		return
+	}
+	l.log.Error(err, "reply given up", "id", id, "service", service, "upstream", upstream)
+}
+
 // missing names the first shards without a reply as service/upstream, by the upstream that was asked last, or as
 // service/none where none was asked.
 func (q *query) missing() string {
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/exchanger"
 	"carobbend.example/carobbend/gatherer"
+	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/router"
 )
 
@@ -37,6 +39,8 @@
 	services []string
 	deadline time.Time
 	request  exchanger.Request
+	// held is the memory that is reserved for the request; nil where none was.
+	held *limiter.Reservation
 	// way is the time that the caller counts besides.
 	way time.Duration
 	// usual is the usual latency of an attempt.
@@ -51,6 +55,9 @@
 	// failure is the last failure that an upstream stated itself.
 	failure *exchanger.Reply
 
+	// broken says that the answer ended early and must not look complete.
+	broken bool
+
 	hedges, retries, skips int
 	lastKind               carobbend.FailureKind
 	outcome                Outcome
@@ -72,6 +79,13 @@
 	return q.route.Name
 }
 
+// release gives the reserved memory back. Attempts that were canceled may use theirs for a moment longer.
+func (q *query) release() {
+	if q.held != nil {
+		q.held.Release()
+	}
+}
+
 // fansOut reports whether the answer is combined from shards.
 func (q *query) fansOut() bool { return len(q.route.Shards) > 0 }
 
@@ -120,9 +134,9 @@
 	case ctx.Err() != nil:
 		q.outcome, q.reason = OutcomeGone, "the caller left"
 	case step.Action == gatherer.Answer:
-		q.answer(w)
+		q.answer(ctx, w)
 	default:
-		q.fail(w, step.Reason)
+		q.fail(ctx, w, step.Reason)
 	}
 }
 
@@ -257,6 +271,9 @@
 ) result {
 	kind := exchanger.KindOf(err)
 	load := -1.0
+	if kind == carobbend.FailureOversized {
+		q.f.log.oversized(q.id, q.services[shard], sent.Upstream(), err)
+	}
 	if reply != nil {
 		kind = q.kindOf(reply)
 		if reply.HasLoad {
@@ -293,7 +310,10 @@
 
 // take records the end of an attempt.
 func (q *query) take(res result) {
-	delete(q.open, res.attempt)
+	if res.reply == nil || res.reply.Rest == nil {
+		// An attempt whose reply has a rest is open until that was read.
+		delete(q.open, res.attempt)
+	}
 	if res.kind == carobbend.FailureNone {
 		if q.gather.Replied(res.shard) {
 			q.parts[res.shard] = res.reply
@@ -314,10 +334,10 @@
 }
 
 // answer sends what the gather covered.
-func (q *query) answer(w http.ResponseWriter) {
+func (q *query) answer(ctx context.Context, w http.ResponseWriter) {
 	if !q.fansOut() {
 		q.outcome = OutcomeWhole
-		q.passOn(w, q.parts[0])
+		q.passOn(ctx, w, q.parts[0])
 		return
 	}
 	bodies := make([][]byte, 0, len(q.parts))
@@ -346,7 +366,7 @@
 }
 
 // passOn sends an upstream's reply as it came.
-func (q *query) passOn(w http.ResponseWriter, reply *exchanger.Reply) {
+func (q *query) passOn(ctx context.Context, w http.ResponseWriter, reply *exchanger.Reply) {
 	h := w.Header()
 	q.f.Exchanger.PassOn(reply.Header, func(name, value string) {
 		if name != q.f.Headers.Load {
@@ -358,22 +378,58 @@
 		h["Content-Type"] = nil
 	}
 	h.Set(q.f.Headers.RequestID, q.id)
-	if reply.Status != http.StatusNoContent && reply.Status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	length := reply.Length
+	if reply.Rest == nil && q.request.Method != http.MethodHead {
+		length = int64(len(reply.Body))
+	}
+	if length >= 0 && reply.Status != http.StatusNoContent && reply.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(reply.Status)
 	// A caller that left gets no answer.
 	_, _ = w.Write(reply.Body)
+	if reply.Rest != nil {
+		q.copyRest(ctx, w, reply.Rest)
+	}
 }
 
+// copyRest sends the remainder of a long reply piece by piece. The answer is broken off where the reply ends early, so that
+// it doesn't look complete.
+func (q *query) copyRest(ctx context.Context, w http.ResponseWriter, rest io.ReadCloser) {
+	closeRest := func() {
+		// Nothing is left to be done about an error.
+		_ = rest.Close()
+	}
+	defer closeRest()
+	// A reply of which nothing arrives any more would hold the request although the caller left.
+	stop := context.AfterFunc(ctx, closeRest)
+	defer stop()
+	// A deadline can't be set on all kinds of connections; the caller's leaving then ends the request.
+	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline)
+	if _, err := io.CopyBuffer(writerOnly{w}, rest, make([]byte, copyBuffer)); err != nil {
+		q.outcome, q.reason = OutcomeFailed, "broken off: "+err.Error()
+		if ctx.Err() != nil {
+			q.outcome = OutcomeGone
+		}
+		q.broken = true
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+}
+
+// copyBuffer is the size in bytes of the pieces in which long replies are passed on.
+const copyBuffer = 8 << 10
+
+// writerOnly hides io.ReaderFrom, which would ignore the buffer.
+type writerOnly struct{ io.Writer }
+
 // fail sends the failure that says most: that nothing ran, what an upstream stated, or that attempts failed.
-func (q *query) fail(w http.ResponseWriter, reason gatherer.Reason) {
+func (q *query) fail(ctx context.Context, w http.ResponseWriter, reason gatherer.Reason) {
 	switch {
 	case q.gather.Runs() == 0:
 		q.end(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", retryAfter})
 	case !q.fansOut() && q.failure != nil:
 		q.outcome = OutcomeUpstream
-		q.passOn(w, q.failure)
+		q.passOn(ctx, w, q.failure)
 	case reason == gatherer.ReasonDeadline:
 		q.end(w, &refusal{http.StatusGatewayTimeout, OutcomeTimeout, "no answer came in time", 0})
 	default:
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -237,6 +237,20 @@
 		if got := Merge(n, parts...); !bytes.Equal(got, want) {
 			t.Errorf("Merge(%d) of %d parts: got %d bytes, want %d", n, len(parts), len(got), len(want))
 		}
+		// Parts that were reduced piece by piece give the same answer.
+		for i, p := range parts {
+			s := NewSelector(n)
+			for piece := range slices.Chunk(bytes.Clone(p), 1+rng.IntN(40)) {
+				if _, err := s.Write(piece); err != nil {
+					t.Fatal(err)
+				}
+				clear(piece)
+			}
+			parts[i] = s.Bytes()
+		}
+		if got := Merge(n, parts...); !bytes.Equal(got, want) {
+			t.Errorf("Merge(%d) of %d reduced parts: got %d bytes, want %d", n, len(parts), len(got), len(want))
+		}
 	}
 }
 
--- /dev/null
+++ b/limiter/bytes.go
@@ -0,0 +1,44 @@
+package limiter
+
+import "sync/atomic"
+
+// Bytes bounds the memory that requests in flight hold together, by what is reserved for each before it is read or
+// answered. The zero value bounds nothing; it is safe for concurrent use.
+type Bytes struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBytes returns a bound in bytes; 0 bounds nothing.
+func NewBytes(limit int64) *Bytes { return &Bytes{limit: limit} }
+
+// Used returns the number of bytes that are reserved.
+func (b *Bytes) Used() int64 { return b.used.Load() }
+
+// Reserve returns a reservation of n bytes, or false where they aren't left. The reservation has to be released once.
+func (b *Bytes) Reserve(n int64) (*Reservation, bool) {
+	r := &Reservation{bytes: b}
+	return r, r.Grow(n)
+}
+
+// Reservation is a part of a bound.
+type Reservation struct {
+	bytes *Bytes
+	n     int64
+}
+
+// Grow adds n bytes to the reservation, or returns false and adds none.
+func (r *Reservation) Grow(n int64) bool {
+	if used := r.bytes.used.Add(n); r.bytes.limit > 0 && used > r.bytes.limit {
+		r.bytes.used.Add(-n)
+		return false
+	}
+	r.n += n
+	return true
+}
+
+// Release gives all bytes back; further calls do nothing.
+func (r *Reservation) Release() {
+	r.bytes.used.Add(-r.n)
+	r.n = 0
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -76,8 +76,9 @@
 				}
 				return &conn{Conn: c}, nil
 			},
-			DisableCompression: true,
-			IdleConnTimeout:    DefaultIdleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: carobbend.MaxHeadBytes,
+			IdleConnTimeout:        DefaultIdleTimeout,
 		},
 	}
 	WithMaxConns(DefaultMaxConns)(s)
--- a/storeclient/transport.go
+++ b/storeclient/transport.go
@@ -80,9 +80,10 @@
 	t.limiter = rate.NewLimiter(rate.Limit(c.rate), max(1, int(c.rate)))
 	t.gate = newGate(c.backOff[0], c.backOff[1], c.timeout)
 	t.http = &http.Transport{
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: carobbend.MaxHeadBytes,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        idleTimeout,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := c.dial(ctx, network, address)
 			if err != nil {
--- a/upstream.go
+++ b/upstream.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// MaxHeadBytes bounds the head of any HTTP reply in bytes. The default of net/http, 10 MB, times the connections of an
+// instance is more than its memory.
+const MaxHeadBytes = 64 << 10
+
 // UpstreamID names one upstream uniquely in the settings.
 type UpstreamID string
 
@@ -107,6 +111,8 @@
 	FailureSilent FailureKind = "silent"
 	// FailureBroken says that the connection or the reply broke.
 	FailureBroken FailureKind = "broken"
+	// FailureOversized says that the reply was longer than allowed and was given up.
+	FailureOversized FailureKind = "oversized"
 	// FailureIdentity says that the reply belonged to another request.
 	FailureIdentity FailureKind = "identity"
 	// FailureCanceled says that the sender gave up.
