Hold a slack for extra requests back after a start, instead of letting it grow

Cause: a process took its slack anew, growing over a window from its start, while what its predecessor had spent right before its end still counted in the same window; after the loss of an instance the others took its part the same way.

Ruled out: a token bucket, which is safe across restarts but allows half as much in long trouble; no extra requests at all for a window after a start.

Change: a first slack is used 1.2 windows after the start, a larger one 2.4 windows after it was learned. TestSlackGrowsOverAWindow stated the growth; TestSlackIsHeldBack takes its place and allows less at every time.

--- a/hedger/allowance.go
+++ b/hedger/allowance.go
@@ -1,6 +1,7 @@
 package hedger
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,9 +13,18 @@
 // defaultWindow is the time over which an Allowance without one counts.
 const defaultWindow = 10 * time.Second
 
+const (
+	// startHold is the time, in windows, until a first slack may be used: a former process of this instance may have used
+	// its own right before its end. The part beyond one window covers instances that don't know of this one yet.
+	startHold = 1.2
+	// growthHold is the time, in windows, until a larger slack may be used. An instance that left the list may go on for a
+	// while, cut off from it.
+	growthHold = 2.4
+)
+
 // Allowance bounds hedges and retries for each service: in any window of time they number at most a ratio of the
-// requests plus a slack. A larger slack is reached over a window: after a start, a former process of this instance may
-// have used its own, and after the loss of an instance, so may that one.
+// requests plus a slack. A larger slack may be used only after those who had it before can't have used it in the same
+// window.
 //
 // Requests count when they arrive, also if they are refused. The zero value allows nothing; an Allowance is safe for
 // concurrent use.
@@ -23,11 +33,17 @@
 
 	mu    sync.Mutex
 	ratio float64
-	// slackFrom is the slack at slackAt, from where it grows to slackTo.
-	slackFrom, slackTo float64
-	slackAt            time.Time
-	started            time.Time
-	services           map[string]*usage
+	slack float64
+	// former are smaller slacks that still bound the current one.
+	former   []formerSlack
+	started  time.Time
+	services map[string]*usage
+}
+
+// formerSlack is a slack that was in force and bounds later ones for a while.
+type formerSlack struct {
+	slack float64
+	until time.Time
 }
 
 // usage counts requests and extra requests in a ring of cells.
@@ -45,15 +61,25 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ratio, slack = max(ratio, 0), max(slack, 0)
-	if slack != a.slackTo {
-		a.slackFrom, a.slackTo, a.slackAt = min(a.slack(now), slack), slack, now
+	if slack > a.slack {
+		hold := growthHold
+		if a.slack == 0 {
+			hold = startHold
+		}
+		until := now.Add(time.Duration(hold * float64(a.length())))
+		a.former = append(a.former, formerSlack{a.slack, until})
 	}
+	a.slack = slack
 }
 
-// slack returns the slack that holds now.
-func (a *Allowance) slack(now time.Time) float64 {
-	grown := min(float64(now.Sub(a.slackAt))/float64(a.length()), 1)
-	return a.slackFrom + grown*(a.slackTo-a.slackFrom)
+// slackNow returns the slack that may be used.
+func (a *Allowance) slackNow(now time.Time) float64 {
+	a.former = slices.DeleteFunc(a.former, func(f formerSlack) bool { return !now.Before(f.until) })
+	least := a.slack
+	for _, f := range a.former {
+		least = min(least, f.slack)
+	}
+	return least
 }
 
 // Requested counts a request to each of the services.
@@ -79,7 +105,7 @@
 			requests += u.requests[i]
 		}
 	}
-	if float64(extra+1) > a.ratio*float64(requests)+a.slack(now) {
+	if float64(extra+1) > a.ratio*float64(requests)+a.slackNow(now) {
 		return false
 	}
 	u.extra[u.current%(cells+1)]++
--- a/hedger/allowance_test.go
+++ b/hedger/allowance_test.go
@@ -32,35 +32,39 @@
 	}
 }
 
-// Guards against a slack that is used twice: by a restarted instance after its former process, or by the others after an
-// instance that is gone.
-func TestSlackGrowsOverAWindow(t *testing.T) {
+// Guards against a slack that is used twice in one window: by a restarted instance after its former process, or by the
+// others after an instance that is gone.
+func TestSlackIsHeldBack(t *testing.T) {
 	a := NewAllowance(10 * time.Second)
 	a.Set(epoch, 0, 50)
-	spend := func(now time.Time) (n int) {
-		for a.Spend(now, "s") {
+	spend := func(s float64) (n int) {
+		for a.Spend(epoch.Add(time.Duration(s*float64(time.Second))), "s") {
 			n++
 		}
 		return n
 	}
-	if got := spend(epoch); got != 0 {
-		t.Errorf("at the start: got %d, want 0", got)
-	}
-	// An update that changes nothing must not put the growth off.
+	// An update that changes nothing must not put the start off.
 	a.Set(epoch.Add(2*time.Second), 0, 50)
-	if got := spend(epoch.Add(5 * time.Second)); got != 25 {
-		t.Errorf("after half a window: got %d, want 25", got)
-	}
-	if got := spend(epoch.Add(10 * time.Second)); got != 25 {
-		t.Errorf("after a window: got %d, want the other 25", got)
+	for _, c := range []struct {
+		at   float64
+		want int
+	}{{0, 0}, {5, 0}, {10, 0}, {11.9, 0}, {12, 50}, {13, 0}} {
+		if got := spend(c.at); got != c.want {
+			t.Errorf("after %v s: got %d, want %d", c.at, got, c.want)
+		}
 	}
-	// Of two instances, one is gone: what it used still counts for a window.
+	// Of two instances, one is gone; it may be cut off from the list and go on for a while.
 	a.Set(epoch.Add(30*time.Second), 0, 100)
-	if got := spend(epoch.Add(30 * time.Second)); got != 50 {
-		t.Errorf("right after the loss of an instance: got %d, want 50", got)
+	for _, c := range []struct {
+		at   float64
+		want int
+	}{{30, 50}, {45, 50}, {53.9, 0}, {54, 50}} {
+		if got := spend(c.at); got != c.want {
+			t.Errorf("after the loss of an instance at 30 s, at %v s: got %d, want %d", c.at, got, c.want)
+		}
 	}
-	a.Set(epoch.Add(31*time.Second), 0, 20)
-	if got := spend(epoch.Add(41 * time.Second)); got != 20 {
+	a.Set(epoch.Add(60*time.Second), 0, 20)
+	if got := spend(70); got != 20 {
 		t.Errorf("a window after a smaller slack: got %d, want 20", got)
 	}
 }
