Answer what was accepted at a planned stop, and notice that the machine was suspended

Cause, planned stop: http.Server.Shutdown drops a request that it reads after the call, Close also those that run; and what was in flight at the end of the grace time was cut off. Answers to requests that had begun before SIGTERM left their connection open. serve used Shutdown as well. Cause, suspension: the steady clock stands still while a machine is suspended, so after the wake-up retries and hedges went out for callers that were long gone, with a deadline that was over.

Ruled out: Shutdown with a delay (the race stays); reading the boot-time clock before each attempt (two system calls each); refusing requests until the store was read again (the watch's answer is there within milliseconds).

Change: package acceptor closes the listener, waits until no connection waits for an answer, and then closes the server, for both programs. New work is taken for half of the grace time instead of 0.65 of it, the rest is answered 502 after 0.88. Package timekeeper compares the boot-time clock with the steady one; times are brought forward before a further attempt, and the store is asked anew.

--- /dev/null
+++ b/acceptor/acceptor_test.go
@@ -0,0 +1,99 @@
+package acceptor
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestCloseAnswersWhatWasAccepted guards against a planned stop that cuts off requests which were accepted in the last
+// moment: one that runs, and one of which a part has arrived.
+func TestCloseAnswersWhatWasAccepted(t *testing.T) {
+	running := make(chan struct{}, 1)
+	srv := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		running <- struct{}{}
+		time.Sleep(25 * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := New(l, srv)
+	done := make(chan error, 1)
+	go func() { done <- a.Serve() }()
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	conns := make([]net.Conn, 2)
+	for i, begin := range []string{request, request[:20]} {
+		c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			if err := c.Close(); err != nil {
+				t.Log(err)
+			}
+		}()
+		if _, err := c.Write([]byte(begin)); err != nil {
+			t.Fatal(err)
+		}
+		for a.waiting() <= i {
+			time.Sleep(time.Millisecond)
+		}
+		conns[i] = c
+	}
+	<-running
+	closed := make(chan bool)
+	// The limit is only reached by a failure.
+	go func() { closed <- a.Close(time.Minute) }()
+	time.Sleep(5 * time.Millisecond)
+	if _, err := conns[1].Write([]byte(request[20:])); err != nil {
+		t.Error(err)
+	}
+	for i, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("request %d: got %v, want an answer", i, err)
+			continue
+		}
+		if err := resp.Body.Close(); err != nil || resp.StatusCode != http.StatusNoContent {
+			t.Errorf("request %d: got %d, %v, want 204", i, resp.StatusCode, err)
+		}
+	}
+	if !<-closed {
+		t.Error("got connections that weren't quiet")
+	}
+	if err := <-done; err != nil {
+		t.Errorf("Serve: got %v, want nil", err)
+	}
+}
+
+// TestCloseEndsAtTheLimit guards against a stop that waits for a connection on which nothing ever comes.
+func TestCloseEndsAtTheLimit(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := New(l, &http.Server{ReadHeaderTimeout: time.Minute})
+	done := make(chan error, 1)
+	go func() { done <- a.Serve() }()
+	c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for a.waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if a.Close(10 * time.Millisecond) {
+		t.Error("got quiet connections, want one that waits")
+	}
+	if err := <-done; err != nil {
+		t.Errorf("Serve: got %v, want nil", err)
+	}
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -23,6 +23,7 @@
 	"carobbend.example/carobbend/router"
 	"carobbend.example/carobbend/settings"
 	"carobbend.example/carobbend/steerer"
+	"carobbend.example/carobbend/timekeeper"
 )
 
 const (
@@ -59,6 +60,8 @@
 	enroller  *enroller.Enroller
 	meter     *meter.Forward
 	draining  chan struct{}
+	// suspension notices that the machine was suspended while no request came.
+	suspension timekeeper.Watch
 	// active says that this instance isn't in reserve.
 	active atomic.Bool
 
@@ -87,6 +90,7 @@
 	x.forwarder = forwarder.New(forwarder.Config{
 		Headers: headers, Router: &x.router, Fleet: &x.fleet, Balancer: x.balancer, Exchanger: x.exchanger,
 		Allowance: x.allowance, Hedger: hedger.New(), Instances: x.steerer.Live,
+		Woken:  x.woken,
 		Memory: limiter.NewBytes(int64(requestMemoryPart * float64(cfg.MemoryMB) * (1 << 20))),
 	})
 	x.store = platform.NewStore(cfg.Store)
--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -14,6 +14,7 @@
 
 	oklogrun "github.com/oklog/run"
 
+	"carobbend.example/carobbend/acceptor"
 	"carobbend.example/carobbend/forwarder"
 	"carobbend.example/carobbend/platform"
 	"carobbend.example/carobbend/settings"
@@ -27,44 +28,57 @@
 	maxHeaderBytes = 256 << 10
 	// headerTimeout bounds the time for reading the headers of a request.
 	headerTimeout = 10 * time.Second
-	// acceptPart is the part of the time to the kill in which a draining instance accepts work, exitPart that after
-	// which it exits although requests are in flight.
-	acceptPart = 0.65
-	exitPart   = 0.92
+	// acceptPart is the part of the time to the kill in which a draining instance accepts work: callers drop its address
+	// within three times the validity of an address answer, and what was accepted needs the rest of the time.
+	acceptPart = 0.5
+	// answerPart is the part of the time to the kill after which requests in flight are answered as failed, exitPart that
+	// after which the process exits whatever is in flight.
+	answerPart = 0.88
+	exitPart   = 0.94
+	// closeTime bounds the time in which connections end whose request was accepted in the last moment.
+	closeTime = 200 * time.Millisecond
 	// drainLook is the time between two looks at the requests in flight.
 	drainLook = 20 * time.Millisecond
 )
 
-// run serves until a signal, drains and returns nil.
-func (x *forwardInstance) run() error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var g oklogrun.Group
-	callers := &http.Server{
-		Handler: x.forwarder, ConnContext: forwarder.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog(),
-	}
-	if err := x.serve(&g, x.cfg.Listen.Callers, callers); err != nil {
-		return err
-	}
-	type listener struct {
-		address string
-		handler http.Handler
-	}
-	others := []listener{
-		{x.cfg.Listen.Readiness, platform.ReadinessHandler(x.ready)},
-		{x.cfg.Listen.Addresses, platform.AddressHandler(&x.steerer)},
+// service is what is served on one address.
+type service struct {
+	address     string
+	handler     http.Handler
+	connContext func(context.Context, net.Conn) context.Context
+}
+
+// services returns what this instance serves, callers first.
+func (x *forwardInstance) services() []service {
+	all := []service{
+		{x.cfg.Listen.Callers, x.forwarder, forwarder.ConnContext},
+		{x.cfg.Listen.Readiness, platform.ReadinessHandler(x.ready), nil},
+		{x.cfg.Listen.Addresses, platform.AddressHandler(&x.steerer), nil},
 	}
 	if a := x.cfg.Listen.Metrics; a != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", x.meter.Handler())
-		others = append(others, listener{a, mux})
+		all = append(all, service{a, mux, nil})
 	}
-	for _, s := range others {
-		srv := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: serverLog()}
-		if err := x.serve(&g, s.address, srv); err != nil {
+	return all
+}
+
+// run serves until a signal, drains and returns nil.
+func (x *forwardInstance) run() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g oklogrun.Group
+	for _, s := range x.services() {
+		srv := &http.Server{
+			Handler: s.handler, ConnContext: s.connContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog(),
+		}
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", s.address)
+		if err != nil {
 			return err
 		}
+		a := acceptor.New(l, srv)
+		g.Add(a.Serve, func(error) { a.Close(closeTime) })
 	}
 	g.Add(func() error { return x.follower.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.enroller.Run(ctx) }, func(error) { cancel() })
@@ -79,19 +93,6 @@
 	return err
 }
 
-// serve opens a listener and adds its server to the group.
-func (x *forwardInstance) serve(g *oklogrun.Group, address string, srv *http.Server) error {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", address)
-	if err != nil {
-		return err
-	}
-	g.Add(func() error { return srv.Serve(l) }, func(error) {
-		// The process ends; nothing is left to be done about an error.
-		_ = srv.Close()
-	})
-	return nil
-}
-
 var errDrained = errors.New("drained")
 
 // handleSignals waits for the end of the process and reloads on SIGHUP.
@@ -143,9 +144,22 @@
 	}
 	time.Sleep(time.Duration(acceptPart * float64(grace)))
 	x.forwarder.Refuse()
-	for time.Since(start) < time.Duration(exitPart*float64(grace)) && x.forwarder.InFlight() > 0 {
+	if !x.idle(start.Add(time.Duration(answerPart * float64(grace)))) {
+		x.log.Info("answering what is in flight", "in-flight", x.forwarder.InFlight())
+		x.forwarder.Stop()
+		x.idle(start.Add(time.Duration(exitPart * float64(grace))))
+	}
+}
+
+// idle waits until nothing is in flight or the time is over, and reports which.
+func (x *forwardInstance) idle(until time.Time) bool {
+	for x.forwarder.InFlight() > 0 {
+		if !time.Now().Before(until) {
+			return false
+		}
 		time.Sleep(drainLook)
 	}
+	return true
 }
 
 // serverLog drops what the server says about single connections; requests are logged by the forwarder.
--- a/cmd/carobbend/processorload.go
+++ b/cmd/carobbend/processorload.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sys/unix"
 
 	"carobbend.example/carobbend/sleeper"
+	"carobbend.example/carobbend/timekeeper"
 )
 
 const (
@@ -19,15 +20,28 @@
 	busyBelow = 0.4
 )
 
-// watchLoad announces whether this instance is busy, so that instances in reserve take over some callers.
-func (x *forwardInstance) watchLoad(ctx context.Context) error {
-	if x.cfg.Cores == 0 {
-		<-ctx.Done()
-		return ctx.Err()
+// woken asks the store anew after the machine was suspended: a watch that waits may never be answered, and the entry in the
+// list of instances may have lapsed.
+func (x *forwardInstance) woken(lost time.Duration) {
+	x.log.Info("woken", "suspended-ms", lost.Milliseconds())
+	x.follower.Check()
+	if x.active.Load() && !x.isDraining() {
+		x.enroller.Missing()
 	}
+}
+
+// watchLoad announces whether this instance is busy, so that instances in reserve take over some callers. It also notices
+// suspensions.
+func (x *forwardInstance) watchLoad(ctx context.Context) error {
 	var load loadMeter
 	busy := false
 	for sleeper.Sleep(ctx, loadRound) {
+		if lost := x.suspension.Woken(timekeeper.Suspended()); lost > 0 {
+			x.woken(lost)
+		}
+		if x.cfg.Cores == 0 {
+			continue
+		}
 		part := load.round(time.Now(), processorTime()) / x.cfg.Cores
 		now := busy
 		if part > busyAbove {
--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/timekeeper"
 )
 
 // StatusMisdirected is the status with which another upstream under the target's address refuses.
@@ -61,10 +62,21 @@
 	HasBody bool
 	// Deadline is the time at which the reply is of no use.
 	Deadline time.Time
+	// Asleep returns how much of the time until Deadline passed unnoticed while the machine was suspended; nil means none.
+	Asleep func() time.Duration
 	// Reduce returns what takes the place of a long body; nil leaves the rest of one to be read from Reply.Rest.
 	Reduce func() Reducer
 }
 
+// overslept reports whether the deadline passed while the machine was suspended.
+func (r *Request) overslept() bool {
+	if r.Asleep == nil {
+		return false
+	}
+	lost := r.Asleep()
+	return lost >= timekeeper.Least && time.Until(r.Deadline) < lost
+}
+
 // Attempt is one request to one upstream.
 type Attempt struct {
 	x      *Exchanger
@@ -147,17 +159,22 @@
 	p := a.x.pool(t)
 	ctx, cancel := context.WithDeadline(a.ctx, r.Deadline)
 	defer cancel()
-	if err := p.acquire(ctx, t.MaxConns); err != nil {
+	waited, err := p.acquire(ctx, t.MaxConns)
+	if err != nil {
 		return nil, a.fail("acquire", carobbend.FailureNotSent, err)
 	}
 	c := p.takeIdle(time.Now())
 	if c == nil {
-		var err error
 		if c, err = p.dial(ctx); err != nil {
 			p.release(nil, false)
 			return nil, a.fail("dial", carobbend.FailureNotSent, err)
 		}
 	}
+	// Waiting for a connection and opening one are where time passes before a request is sent.
+	if (c.served == 0 || waited) && r.overslept() {
+		p.release(c, c.served > 0)
+		return nil, a.fail("send", carobbend.FailureNotSent, context.DeadlineExceeded)
+	}
 	if !a.own(c) {
 		p.release(c, false)
 		return nil, a.fail("send", carobbend.FailureNotSent, context.Canceled)
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -43,20 +43,20 @@
 
 func newPool(x *Exchanger, address string) *pool { return &pool{x: x, address: address} }
 
-// acquire takes a right to one connection, waiting until ctx ends while all are in use.
-func (p *pool) acquire(ctx context.Context, limit int) error {
+// acquire takes a right to one connection, waiting until ctx ends while all are in use, and reports whether it waited.
+func (p *pool) acquire(ctx context.Context, limit int) (waited bool, err error) {
 	p.mu.Lock()
 	if p.inUse < max(limit, 1) {
 		p.inUse++
 		p.mu.Unlock()
-		return nil
+		return false, nil
 	}
 	w := make(chan struct{})
 	p.waiters = append(p.waiters, w)
 	p.mu.Unlock()
 	select {
 	case <-w:
-		return nil
+		return true, nil
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
@@ -64,12 +64,12 @@
 	for i, o := range p.waiters {
 		if o == w {
 			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			return ctx.Err()
+			return true, ctx.Err()
 		}
 	}
 	// The right was handed over at the same moment.
 	p.handOver()
-	return ctx.Err()
+	return true, ctx.Err()
 }
 
 // release gives the right back and keeps the connection if it can be used again.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -30,6 +30,7 @@
 	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/router"
+	"carobbend.example/carobbend/timekeeper"
 )
 
 const (
@@ -107,6 +108,10 @@
 	Hedger carobbend.Hedger
 	// Memory bounds what the requests in flight hold; nil bounds nothing.
 	Memory *limiter.Bytes
+	// Suspended returns for how long the machine was suspended since its start; nil stands for package timekeeper.
+	Suspended func() time.Duration
+	// Woken is called with the first request after the machine was suspended; it may be nil.
+	Woken func(lost time.Duration)
 	// Recorder may be nil.
 	Recorder Recorder
 	// Instances returns the number of live instances, by which connections are shared.
@@ -121,17 +126,25 @@
 	log       requestLog
 	draining  atomic.Bool
 	refusing  atomic.Bool
+	stopped   chan struct{}
 	inFlight  atomic.Int64
 	latencies latencies
 	gates     gates
+	watch     timekeeper.Watch
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{Config: cfg, fleet: cfg.Fleet, instances: cfg.Instances, log: newRequestLog(logger.New("forwarder"))}
+	f := &Forwarder{
+		Config: cfg, fleet: cfg.Fleet, instances: cfg.Instances, log: newRequestLog(logger.New("forwarder")),
+		stopped: make(chan struct{}),
+	}
 	if f.instances == nil {
 		f.instances = func() int { return 1 }
 	}
+	if f.Suspended == nil {
+		f.Suspended = timekeeper.Suspended
+	}
 	if f.Memory == nil {
 		f.Memory = &limiter.Bytes{}
 	}
@@ -144,6 +157,9 @@
 // Refuse refuses new requests as not run.
 func (f *Forwarder) Refuse() { f.refusing.Store(true) }
 
+// Stop ends the requests in flight with an answer. It may be called once.
+func (f *Forwarder) Stop() { close(f.stopped) }
+
 // InFlight returns the number of requests being served.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
@@ -152,10 +168,10 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	began := time.Now()
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
+	q := &query{f: f, began: began, id: r.Header.Get(f.Headers.RequestID), way: wayTime(r.Context()), suspended: f.Suspended()}
+	if lost := f.watch.Woken(q.suspended); lost > 0 && f.Woken != nil {
+		f.Woken(lost)
 	}
-	q := &query{f: f, began: began, id: r.Header.Get(f.Headers.RequestID), way: wayTime(r.Context())}
 	refusal := f.prepare(q, w, r)
 	defer q.release()
 	if refusal == nil {
@@ -219,8 +235,9 @@
 	if refused != nil {
 		return refused
 	}
-	q.request = exchanger.Request{
+	q.request = &exchanger.Request{
 		Method: r.Method, URI: uri, Host: r.Host, ID: q.id, Body: body, HasBody: hasBody(r), Deadline: q.deadline,
+		Asleep: q.asleepSince(q.suspended),
 	}
 	if q.fansOut() {
 		q.request.Reduce = func() exchanger.Reducer { return gatherer.NewSelector(route.Records) }
@@ -276,10 +293,19 @@
 	return r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
 }
 
+// header returns the header of the answer. It ends the connection where the instance is draining by now.
+func (q *query) header(w http.ResponseWriter) http.Header {
+	h := w.Header()
+	if q.f.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	return h
+}
+
 // end answers a request by this instance itself.
 func (q *query) end(w http.ResponseWriter, r *refusal) {
 	q.outcome, q.reason = r.outcome, r.reason
-	h := w.Header()
+	h := q.header(w)
 	h.Set("Content-Type", "application/json")
 	h.Set(q.f.Headers.RequestID, q.id)
 	if r.after > 0 {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -428,3 +428,53 @@
 		t.Errorf("candidates: got %v, want a and d", got)
 	}
 }
+
+// TestStop guards against a planned stop that cuts off a request whose upstream doesn't answer in time: it gets an answer
+// that promises nothing.
+func TestStop(t *testing.T) {
+	tr := newTier(t)
+	running, release := make(chan struct{}), make(chan struct{})
+	tr.upstream(t, "a", "a1", "", func(http.ResponseWriter, *http.Request) {
+		close(running)
+		<-release
+	})
+	defer close(release)
+	tr.route(order(false))
+	go func() {
+		<-running
+		tr.Drain()
+		tr.Refuse()
+		tr.Stop()
+	}()
+	if resp, _ := tr.call(t, "POST", "/o/1", "x"); resp.status != http.StatusBadGateway || !resp.close {
+		t.Errorf("got %d, close %v, want 502 and the end of the connection", resp.status, resp.close)
+	}
+}
+
+// TestSilentUpstreamKeepsItsWork guards against giving up running work, or starting it again elsewhere, when an upstream is
+// only slow to report: its entry vanishes and comes back while it works.
+func TestSilentUpstreamKeepsItsWork(t *testing.T) {
+	tr := newTier(t)
+	running, release := make(chan struct{}), make(chan struct{})
+	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		<-release
+		w.Header().Set("X-Proof", "p")
+	})
+	tr.route(order(false))
+	go func() {
+		<-running
+		for _, left := range tr.fleet.Update(nil).Left {
+			tr.Balancer.Forget(left.ID)
+			tr.Exchanger.Forget(left.ID)
+		}
+		tr.upstream(t, "a", "a2", "", nil)
+		close(release)
+	}()
+	if resp, _ := tr.call(t, "POST", "/o/1", "x"); resp.status != http.StatusOK {
+		t.Errorf("got %d, want 200 from the upstream that was asked", resp.status)
+	}
+	if got := tr.runsOf("a1") + tr.runsOf("a2"); got != 1 {
+		t.Errorf("runs: got %d, want 1", got)
+	}
+}
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -16,6 +16,7 @@
 	"carobbend.example/carobbend/gatherer"
 	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/router"
+	"carobbend.example/carobbend/timekeeper"
 )
 
 const (
@@ -38,7 +39,9 @@
 	route    *router.Route
 	services []string
 	deadline time.Time
-	request  exchanger.Request
+	request  *exchanger.Request
+	// suspended is what Config.Suspended returned when the request arrived.
+	suspended time.Duration
 	// held is the memory that is reserved for the request; nil where none was.
 	held *limiter.Reservation
 	// way is the time that the caller counts besides.
@@ -192,6 +195,11 @@
 			return step
 		}
 		if len(step.Ask) > 0 {
+			if q.wake() {
+				if late := q.gather.Next(now); late.Action != gatherer.Wait {
+					return late
+				}
+			}
 			for _, a := range step.Ask {
 				kind := AttemptRetry
 				switch {
@@ -210,12 +218,41 @@
 			q.take(res)
 			q.takeWaiting()
 		case <-timer.C:
+		case <-q.f.stopped:
+			return gatherer.Step{Action: gatherer.Fail}
 		case <-ctx.Done():
 			return gatherer.Step{Action: gatherer.Fail}
 		}
 	}
 }
 
+// wake brings the time that is left up to date where the machine was suspended meanwhile, and reports whether it was. The
+// caller may have left long ago, and an attempt must not be sent in its name then.
+func (q *query) wake() bool {
+	lost := q.asleep()
+	if lost < timekeeper.Least {
+		return false
+	}
+	q.suspended += lost
+	q.gather.Advance(lost)
+	q.deadline = q.deadline.Add(-lost)
+	// Attempts in flight hold the former request.
+	request := *q.request
+	request.Deadline = q.deadline
+	request.Asleep = q.asleepSince(q.suspended)
+	q.request = &request
+	return true
+}
+
+// asleep returns for how long the machine was suspended since the time that is left was brought up to date.
+func (q *query) asleep() time.Duration { return q.asleepSince(q.suspended)() }
+
+// asleepSince returns asleep as it stands now, for use on other goroutines.
+func (q *query) asleepSince(suspended time.Duration) func() time.Duration {
+	f := q.f.Suspended
+	return func() time.Duration { return f() - suspended }
+}
+
 // takeWaiting takes the results that are there already, so that the gather is asked once for all of them.
 func (q *query) takeWaiting() {
 	for {
@@ -258,8 +295,9 @@
 	q.asked[shard] = append(q.asked[shard], id)
 	a := f.Exchanger.Attempt(ctx)
 	q.open[a] = struct{}{}
+	request := q.request
 	go func() {
-		reply, err := a.Do(t, &q.request)
+		reply, err := a.Do(t, request)
 		q.results <- q.judge(now, sent, shard, a, kind, reply, err)
 	}()
 }
@@ -354,7 +392,7 @@
 	if missing > 0 {
 		q.outcome = OutcomePartial
 	}
-	h := w.Header()
+	h := q.header(w)
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set(q.f.Headers.RequestID, q.id)
 	h.Set(q.f.Headers.Proofs, strings.Join(proofs, ", "))
@@ -367,7 +405,7 @@
 
 // passOn sends an upstream's reply as it came.
 func (q *query) passOn(ctx context.Context, w http.ResponseWriter, reply *exchanger.Reply) {
-	h := w.Header()
+	h := q.header(w)
 	q.f.Exchanger.PassOn(reply.Header, func(name, value string) {
 		if name != q.f.Headers.Load {
 			h.Add(name, value)
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -175,6 +175,19 @@
 	}
 }
 
+// Advance brings all times forward by d, which passed unnoticed while the machine was suspended.
+func (g *Gather) Advance(d time.Duration) {
+	g.plan.Deadline = g.plan.Deadline.Add(-d)
+	if !g.plan.AnswerBy.IsZero() {
+		g.plan.AnswerBy = g.plan.AnswerBy.Add(-d)
+	}
+	for i := range g.shards {
+		if s := &g.shards[i]; !s.hedgeAt.IsZero() {
+			s.hedgeAt = s.hedgeAt.Add(-d)
+		}
+	}
+}
+
 // Denied records that an attempt couldn't be started. A hedge is tried again later; without another attempt open the
 // shard is lost.
 func (g *Gather) Denied(i int, now time.Time) {
--- a/server/server.go
+++ b/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/acceptor"
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/replayer"
 )
@@ -172,7 +173,12 @@
 		srv *http.Server
 		ln  net.Listener
 	}{{s.callerHTTP, callers}, {s.adminHTTP, admin}} {
-		g.Add(func() error { return listenError(x.srv.Serve(x.ln)) }, func(error) { s.close(x.srv) })
+		a := acceptor.New(x.ln, x.srv)
+		g.Add(func() error { return listenError(a.Serve()) }, func(error) {
+			if !a.Close(closeLimit) {
+				s.log.Info("connections closed at the limit")
+			}
+		})
 	}
 	stop := make(chan struct{})
 	g.Add(func() error { s.drain(stop); return nil }, func(error) { close(stop) })
@@ -180,24 +186,12 @@
 }
 
 func listenError(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return &Error{Op: "serve", Kind: KindListen, Err: err}
 }
 
-// close ends the listener and the idle connections; replies being written are finished within the limit.
-func (s *Server) close(srv *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
-	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
-		s.log.Error(err, "connections closed at the limit")
-		if err := srv.Close(); err != nil {
-			s.log.Error(err, "close failed")
-		}
-	}
-}
-
 // drain waits for Drain and then runs the stages; it returns early when stop closes.
 func (s *Server) drain(stop <-chan struct{}) {
 	select {
--- /dev/null
+++ b/timekeeper/timekeeper_test.go
@@ -0,0 +1,35 @@
+package timekeeper
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSuspended guards against a suspension that is seen where there was none, so that requests would be given up.
+func TestSuspended(t *testing.T) {
+	before := Suspended()
+	if before < 0 {
+		t.Errorf("got %v, want no negative time", before)
+	}
+	for range 1000 {
+		if lost := Suspended() - before; lost > Least || lost < -Least {
+			t.Fatalf("got a change of %v, want less than %v", lost, Least)
+		}
+	}
+}
+
+// TestWatch guards against a suspension that is missed, or told more than once.
+func TestWatch(t *testing.T) {
+	var w Watch
+	for i, c := range []struct{ suspended, want time.Duration }{
+		{time.Hour, 0},
+		{time.Hour + Least/2, 0},
+		{time.Hour + 5*time.Second, 5 * time.Second},
+		{time.Hour + 5*time.Second, 0},
+		{time.Hour + 6*time.Second, time.Second},
+	} {
+		if got := w.Woken(c.suspended); got != c.want {
+			t.Errorf("call %d: got %v, want %v", i, got, c.want)
+		}
+	}
+}
