Serve from the reserve when a caller asks, and let requests wait for the first routing

Callers were sent there, and 544 of 554 refusals in 35 to 37 s said that no routing was known. A routing was also put in force before the upstreams of the same reading: 10 refusals said that too few services had an upstream.

Ruled out: slow reading (large instances had state 25 ms after their start).

Change: a request takes an instance out of reserve, whose wait at the start can be interrupted; a request waits at most 100 ms for the first routing in the first 500 ms; the routing is published last.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"math/rand/v2"
 	"runtime/debug"
 	"sync"
@@ -37,6 +38,10 @@
 	forgetTime = time.Second
 	// memoryPart is the part of the memory that the runtime may use before it collects garbage more often.
 	memoryPart = 0.6
+	// awaitTime bounds the time that a request waits for the first routing, awaitWindow the time after the start in which
+	// requests wait. Reading it takes some 30 ms.
+	awaitTime   = 100 * time.Millisecond
+	awaitWindow = 500 * time.Millisecond
 	// requestMemoryPart is the part of the memory that the requests in flight may hold.
 	requestMemoryPart = 0.3
 )
@@ -64,15 +69,20 @@
 	suspension timekeeper.Watch
 	// active says that this instance isn't in reserve.
 	active atomic.Bool
+	// routed is closed once a routing is in force.
+	routed     chan struct{}
+	routedOnce sync.Once
 
 	mu sync.Mutex
 	// enrolled is the last list of instances that was seen in reserve, considering that the look at it is pending.
 	enrolled    map[string]carobbend.Instance
 	considering bool
+	// activeSince is the time since which this instance isn't in reserve.
+	activeSince time.Time
 }
 
 func newForwardInstance(file string, cfg *settings.Forward) *forwardInstance {
-	x := &forwardInstance{file: file, cfg: cfg, log: logger.New("instance"), draining: make(chan struct{})}
+	x := &forwardInstance{file: file, cfg: cfg, log: logger.New("instance"), draining: make(chan struct{}), routed: make(chan struct{})}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
@@ -90,24 +100,30 @@
 	x.forwarder = forwarder.New(forwarder.Config{
 		Headers: headers, Router: &x.router, Fleet: &x.fleet, Balancer: x.balancer, Exchanger: x.exchanger,
 		Allowance: x.allowance, Hedger: hedger.New(), Instances: x.steerer.Live,
-		Woken:  x.woken,
+		Woken: x.woken, AwaitRouting: x.awaitRouting,
 		Memory: limiter.NewBytes(int64(requestMemoryPart * float64(cfg.MemoryMB) * (1 << 20))),
 	})
 	x.store = platform.NewStore(cfg.Store)
 	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
-	x.follower = follower.New(platform.NewFeed(x.store), follower.Handlers{
-		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances,
-	})
-	x.enroller.OnFailure(x.follower.Check)
+	x.follow(platform.NewFeed(x.store))
 	x.steerer.SetSelf(x.self, false)
 	if steerer.NeedOf(x.self, nil) == steerer.NeedNow && steerer.Delay(x.self, steerer.NeedNow, 0) == 0 {
 		x.active.Store(true)
+		x.activeSince = time.Now()
 	} else {
 		x.follower.Follow(carobbend.ScopeInstances)
 	}
 	return x
 }
 
+// follow sets where the state comes from.
+func (x *forwardInstance) follow(feed carobbend.Feed) {
+	x.follower = follower.New(feed, follower.Handlers{
+		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances,
+	})
+	x.enroller.OnFailure(x.follower.Check)
+}
+
 // measure attaches the metrics.
 func (x *forwardInstance) measure(lines *logger.Async) error {
 	m, err := meter.NewForward(meter.ForwardSources{
@@ -149,6 +165,9 @@
 
 func (x *forwardInstance) applyRouting(r *carobbend.Routing) bool {
 	ok := x.router.Apply(r)
+	if ok {
+		x.routedOnce.Do(func() { close(x.routed) })
+	}
 	if ok && !x.isDraining() {
 		x.steerer.SetSelf(x.self, true)
 		x.enroller.Enable()
@@ -216,12 +235,41 @@
 		if steerer.NeedOf(x.self, x.enrolled) == steerer.NeedNone || x.isDraining() {
 			return
 		}
-		x.log.Info("out of reserve", "enrolled", len(x.enrolled))
-		x.active.Store(true)
-		x.follower.Follow(carobbend.ScopeAll)
+		x.activate("needed")
 	})
 }
 
+// activate takes this instance out of reserve; x.mu is held.
+func (x *forwardInstance) activate(reason string) {
+	if x.active.Load() || x.isDraining() {
+		return
+	}
+	x.log.Info("out of reserve", "reason", reason, "enrolled", len(x.enrolled))
+	x.activeSince = time.Now()
+	x.active.Store(true)
+	x.follower.Follow(carobbend.ScopeAll)
+}
+
+// awaitRouting waits for the first routing. A request that reaches an instance in reserve shows that callers were told to use
+// it: after a restart, the entry of the former process stays in the list for the rest of its lease.
+func (x *forwardInstance) awaitRouting(ctx context.Context) {
+	x.mu.Lock()
+	x.activate("asked by a caller")
+	since := x.activeSince
+	x.mu.Unlock()
+	if time.Since(since) > awaitWindow {
+		// The store doesn't answer; waiting would only make the refusal late.
+		return
+	}
+	t := time.NewTimer(awaitTime)
+	defer t.Stop()
+	select {
+	case <-x.routed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (x *forwardInstance) isDraining() bool {
 	select {
 	case <-x.draining:
--- /dev/null
+++ b/cmd/carobbend/forwardinstance_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/platform"
+	"carobbend.example/carobbend/settings"
+)
+
+// feed is a store that holds a routing and enough large instances, or doesn't answer.
+type feed struct{ silent bool }
+
+func (f feed) List(ctx context.Context, scope carobbend.FeedScope) (carobbend.Listing, error) {
+	if f.silent {
+		<-ctx.Done()
+		return carobbend.Listing{}, ctx.Err()
+	}
+	// The answer takes a moment, in which requests must not be refused.
+	time.Sleep(30 * time.Millisecond)
+	l := carobbend.Listing{Revision: 1, Instances: map[string]carobbend.Instance{}}
+	for _, name := range []string{"l1", "l2", "l3", "l4", "l5"} {
+		l.Instances[name] = carobbend.Instance{Name: name, CallerAddress: "127.0.0.1:1", Capacity: 0.8}
+	}
+	if scope == carobbend.ScopeAll {
+		l.Routing = &carobbend.Routing{Version: 1}
+	}
+	return l, nil
+}
+
+func (f feed) Changes(
+	ctx context.Context, _ carobbend.FeedScope, after uint64, wait time.Duration,
+) ([]carobbend.FeedChange, uint64, error) {
+	select {
+	case <-time.After(wait):
+		return nil, after, nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// TestReserveServesWhoAsks guards against refusals after all instances were restarted: the entries of instances in reserve
+// that served before stay in the list for a while, so callers are sent to them, and they had no routing.
+func TestReserveServesWhoAsks(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cores  float64
+		silent bool
+		// at is when the request comes, within the time that it may take.
+		at, within time.Duration
+		status     int
+	}{
+		{"in reserve", 0.2, false, 5 * time.Second, awaitTime, http.StatusNotFound},
+		{"in reserve, right after the start", 0.2, false, 0, awaitTime, http.StatusNotFound},
+		{"a large one, right after the start", 0.8, false, 0, awaitTime, http.StatusNotFound},
+		{"no store, right after the start", 0.8, true, 0, awaitTime, http.StatusServiceUnavailable},
+		{"no store for a while", 0.8, true, 5 * time.Second, 0, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newForwardInstance("", &settings.Forward{Instance: "x", Cores: c.cores, Lease: time.Second})
+				x.follow(feed{silent: c.silent})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- x.follower.Run(ctx) }()
+				time.Sleep(c.at)
+				r := httptest.NewRequest(http.MethodGet, "/none/", nil)
+				r.Header.Set(platform.Headers().RequestID, "r1")
+				w := httptest.NewRecorder()
+				began := time.Now()
+				x.forwarder.ServeHTTP(w, r)
+				if w.Code != c.status {
+					t.Errorf("got %d %s, want %d", w.Code, w.Body, c.status)
+				}
+				if got := time.Since(began); got > c.within {
+					t.Errorf("took %v, want at most %v", got, c.within)
+				}
+				cancel()
+				if err := <-done; !errors.Is(err, context.Canceled) {
+					t.Errorf("got %v, want canceled", err)
+				}
+			})
+		})
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -117,8 +117,13 @@
 
 // Run follows the feed until ctx ends, and returns its error.
 func (f *Follower) Run(ctx context.Context) error {
+	select {
+	case <-f.wake:
+		// The scope was set before the start.
+	default:
+	}
 	if carobbend.FeedScope(f.wanted.Load()) == carobbend.ScopeInstances {
-		sleeper.Sleep(ctx, reserveStart/2+rand.N(reserveStart/2))
+		f.await(ctx, reserveStart/2+rand.N(reserveStart/2))
 	}
 	for ctx.Err() == nil {
 		changed, err := f.step(ctx)
@@ -140,6 +145,11 @@
 	if f.scope == carobbend.ScopeInstances {
 		d = reserveCollect
 	}
+	f.await(ctx, d)
+}
+
+// await waits until the time is over or the wait is interrupted.
+func (f *Follower) await(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -212,9 +222,6 @@
 	now := time.Now()
 	f.reached(now)
 	f.synced, f.revision = true, l.Revision
-	if l.Routing != nil {
-		f.route(l.Routing)
-	}
 	if f.scope == carobbend.ScopeAll {
 		f.upstreams.Replace(now, l.Upstreams)
 	}
@@ -222,6 +229,10 @@
 	f.log.Info("state read", "revision", l.Revision, "upstreams", len(l.Upstreams), "instances", len(l.Instances),
 		"removals-held", f.upstreams.Held()+f.instances.Held())
 	f.publish(f.scope == carobbend.ScopeAll, true)
+	if l.Routing != nil {
+		// Comes last, since requests are served as soon as a routing is known.
+		f.route(l.Routing)
+	}
 	return nil
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -204,3 +204,42 @@
 		}
 	})
 }
+
+// countingFeed counts how often everything is read.
+type countingFeed struct {
+	*silentFeed
+	lists atomic.Int64
+}
+
+func (f *countingFeed) List(ctx context.Context, scope carobbend.FeedScope) (carobbend.Listing, error) {
+	f.lists.Add(1)
+	return f.silentFeed.List(ctx, scope)
+}
+
+// TestReserveStart guards against an instance in reserve that reads the list before larger ones have enrolled, and so
+// believes that it is needed; and against one that stays without a routing when it is asked to serve meanwhile.
+func TestReserveStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &countingFeed{silentFeed: newSilentFeed()}
+		fo := New(feed, Handlers{
+			Routing:   func(*carobbend.Routing) bool { return true },
+			Upstreams: func(map[string]carobbend.UpstreamRecord) {},
+			Instances: func(map[string]carobbend.Instance) {},
+		})
+		fo.Follow(carobbend.ScopeInstances)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- fo.Run(ctx) }()
+		time.Sleep(reserveStart/2 - time.Millisecond)
+		if got := feed.lists.Load(); got != 0 {
+			t.Errorf("lists read before the wait: got %d, want 0", got)
+		}
+		fo.Follow(carobbend.ScopeAll)
+		synctest.Wait()
+		if got := feed.lists.Load(); got != 1 {
+			t.Errorf("lists read when asked to serve: got %d, want 1", got)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 package forwarder
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -108,6 +109,9 @@
 	Hedger carobbend.Hedger
 	// Memory bounds what the requests in flight hold; nil bounds nothing.
 	Memory *limiter.Bytes
+	// AwaitRouting is called with a request that comes before a routing is known; it returns once one is, or when the
+	// request is to be refused. It may be nil.
+	AwaitRouting func(context.Context)
 	// Suspended returns for how long the machine was suspended since its start; nil stands for package timekeeper.
 	Suspended func() time.Duration
 	// Woken is called with the first request after the machine was suspended; it may be nil.
@@ -201,6 +205,10 @@
 // prepare reads the request and finds its route.
 func (f *Forwarder) prepare(q *query, w http.ResponseWriter, r *http.Request) *refusal {
 	t := f.Router.Table()
+	if t == nil && f.AwaitRouting != nil {
+		f.AwaitRouting(r.Context())
+		t = f.Router.Table()
+	}
 	if t == nil {
 		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no routing is known yet", retryAfter}
 	}
