Name small instances to callers only while the large ones don't suffice

Cause: instances of the reserve that served while large ones were cut off stayed in the address answers for good.

Change: address answers name the large instances where they would keep the reserve out, else all. TestSmallOnesAreLeft fails on the former code.

--- a/steerer/reserve.go
+++ b/steerer/reserve.go
@@ -1,6 +1,8 @@
 package steerer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -37,14 +39,22 @@
 
 // NeedOf returns the need for an instance. One that is enrolled stays so.
 func NeedOf(self carobbend.Instance, enrolled map[string]carobbend.Instance) Need {
-	if self.Capacity == 0 || self.Capacity >= FullCapacity {
+	if isLarge(self) {
 		return NeedNow
 	}
 	if _, ok := enrolled[self.Name]; ok {
 		return NeedNow
 	}
+	return needAmong(slices.Collect(maps.Values(enrolled)))
+}
+
+// isLarge reports whether an instance serves from its start.
+func isLarge(x carobbend.Instance) bool { return x.Capacity == 0 || x.Capacity >= FullCapacity }
+
+// needAmong returns the need for instances beside those that serve.
+func needAmong(serving []carobbend.Instance) Need {
 	sum, busy, n := 0.0, 0.0, 0
-	for _, x := range enrolled {
+	for _, x := range serving {
 		if x.Leaving {
 			continue
 		}
@@ -67,7 +77,7 @@
 // Delay returns how long an instance waits for others to enrol first before it looks again whether it is needed. part is
 // drawn between 0 and 1, so that instances in reserve don't enrol all at the same moment.
 func Delay(self carobbend.Instance, need Need, part float64) time.Duration {
-	if self.Capacity == 0 || self.Capacity >= FullCapacity {
+	if isLarge(self) {
 		return 0
 	}
 	spread := reserveDelay
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -75,25 +75,18 @@
 }
 
 // Addresses returns where a caller in a data centre should connect, or false where no instance is known to serve. It
-// names the instances of that data centre alone where there are enough of them that the loss of one leaves another.
+// names the instances of that data centre alone where there are enough of them that the loss of one leaves another. Small
+// instances, which served while large ones were missing, aren't named any more once those suffice.
 func (s *Steerer) Addresses(dc carobbend.DataCentre) (carobbend.Addresses, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var near, all []string
-	add := func(x carobbend.Instance) {
+	for _, x := range s.named() {
 		all = append(all, x.CallerAddress)
 		if x.DataCentre == dc {
 			near = append(near, x.CallerAddress)
 		}
 	}
-	if s.ready {
-		add(s.self)
-	}
-	for _, x := range s.instances {
-		if x.Name != s.self.Name {
-			add(x)
-		}
-	}
 	a := carobbend.Addresses{Addresses: all, ValidFor: validity}
 	if len(near) >= enoughNear {
 		a.Addresses = near
@@ -103,3 +96,26 @@
 	}
 	return a, len(a.Addresses) > 0
 }
+
+// named returns the instances that callers may use: the large ones where they suffice, else all.
+func (s *Steerer) named() []carobbend.Instance {
+	all := make([]carobbend.Instance, 0, len(s.instances)+1)
+	if s.ready {
+		all = append(all, s.self)
+	}
+	for _, x := range s.instances {
+		if x.Name != s.self.Name {
+			all = append(all, x)
+		}
+	}
+	large := make([]carobbend.Instance, 0, len(all))
+	for _, x := range all {
+		if isLarge(x) {
+			large = append(large, x)
+		}
+	}
+	if needAmong(large) == NeedNone {
+		return large
+	}
+	return all
+}
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -100,3 +100,33 @@
 		t.Errorf("delay of a small instance: got %v, want seconds for the large ones to come first", got)
 	}
 }
+
+// TestSmallOnesAreLeft guards against callers that stay on small instances, which are slow, after the large ones are back.
+func TestSmallOnesAreLeft(t *testing.T) {
+	var list []carobbend.Instance
+	for i := range 6 {
+		list = append(list, instance(fmt.Sprint("l", i), "a", 0.8), instance(fmt.Sprint("s", i), "a", 0.2))
+	}
+	busy := slices.Clone(list)
+	for i := range busy {
+		busy[i].Busy = busy[i].Capacity > 0.5
+	}
+	for _, c := range []struct {
+		name string
+		self carobbend.Instance
+		list []carobbend.Instance
+		want int
+	}{
+		{"large ones suffice", list[0], list, 6},
+		{"the same, asked of a small one", list[1], list, 6},
+		{"too few large ones", list[0], list[:5], 5},
+		{"large ones are busy", list[0], busy, 12},
+	} {
+		var s Steerer
+		s.SetSelf(c.self, true)
+		s.Update(listOf(c.list...))
+		if got, _ := s.Addresses("a"); len(got.Addresses) != c.want {
+			t.Errorf("%s: got %v, want %d addresses", c.name, got.Addresses, c.want)
+		}
+	}
+}
