Let the reserve look at the list twice before it serves

Ruled out: holding removals back after the history is gone (the store fell silent again, so the list stayed empty); a longer delay (the list may be as old as the outage is long).

Change: after the delay the list is read anew, and that answer decides. TestReserveLooksTwice fails on the former code.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -74,9 +74,11 @@
 	routedOnce sync.Once
 
 	mu sync.Mutex
-	// enrolled is the last list of instances that was seen in reserve, considering that the look at it is pending.
+	// enrolled is the last list of instances that was seen in reserve, considering that a second look at it is pending.
 	enrolled    map[string]carobbend.Instance
 	considering bool
+	// confirming says that the next list decides.
+	confirming bool
 	// activeSince is the time since which this instance isn't in reserve.
 	activeSince time.Time
 }
@@ -105,14 +107,12 @@
 	})
 	x.store = platform.NewStore(cfg.Store)
 	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
-	x.follow(platform.NewFeed(x.store))
 	x.steerer.SetSelf(x.self, false)
 	if steerer.NeedOf(x.self, nil) == steerer.NeedNow && steerer.Delay(x.self, steerer.NeedNow, 0) == 0 {
 		x.active.Store(true)
 		x.activeSince = time.Now()
-	} else {
-		x.follower.Follow(carobbend.ScopeInstances)
 	}
+	x.follow(platform.NewFeed(x.store))
 	return x
 }
 
@@ -122,6 +122,9 @@
 		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances,
 	})
 	x.enroller.OnFailure(x.follower.Check)
+	if !x.active.Load() {
+		x.follower.Follow(carobbend.ScopeInstances)
+	}
 }
 
 // measure attaches the metrics.
@@ -218,13 +221,21 @@
 	x.allowance.Set(time.Now(), extraRatioPart*bound.Ratio, extraSlackPart*float64(bound.Slack)/float64(n))
 }
 
-// considerServing takes this instance out of reserve where it is needed and still is after the larger ones had time.
+// considerServing takes this instance out of reserve where it is needed, still is after the larger ones had time, and still is
+// by a list that was read then. The entries of all instances lapse in an outage of the store, and the list may be as old as
+// its last answer: without the second look, the whole reserve served after an outage.
 func (x *forwardInstance) considerServing(instances map[string]carobbend.Instance) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.enrolled = instances
 	need := steerer.NeedOf(x.self, instances)
-	if need == steerer.NeedNone || x.considering {
+	confirming := x.confirming
+	x.confirming = false
+	switch {
+	case need == steerer.NeedNone || x.considering:
+		return
+	case confirming:
+		x.activate("needed")
 		return
 	}
 	x.considering = true
@@ -232,10 +243,11 @@
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.considering = false
-		if steerer.NeedOf(x.self, x.enrolled) == steerer.NeedNone || x.isDraining() {
+		if steerer.NeedOf(x.self, x.enrolled) == steerer.NeedNone || x.active.Load() || x.isDraining() {
 			return
 		}
-		x.activate("needed")
+		x.confirming = true
+		x.follower.Refresh()
 	})
 }
 
--- a/cmd/carobbend/forwardinstance_test.go
+++ b/cmd/carobbend/forwardinstance_test.go
@@ -14,10 +14,15 @@
 	"carobbend.example/carobbend/settings"
 )
 
-// feed is a store that holds a routing and enough large instances, or doesn't answer.
-type feed struct{ silent bool }
+// feed is a store that holds a routing and enough large instances, or doesn't answer. Of the lists that are read, the first
+// lapsed ones hold no instance.
+type feed struct {
+	silent bool
+	lapsed int
+	lists  int
+}
 
-func (f feed) List(ctx context.Context, scope carobbend.FeedScope) (carobbend.Listing, error) {
+func (f *feed) List(ctx context.Context, scope carobbend.FeedScope) (carobbend.Listing, error) {
 	if f.silent {
 		<-ctx.Done()
 		return carobbend.Listing{}, ctx.Err()
@@ -25,6 +30,9 @@
 	// The answer takes a moment, in which requests must not be refused.
 	time.Sleep(30 * time.Millisecond)
 	l := carobbend.Listing{Revision: 1, Instances: map[string]carobbend.Instance{}}
+	if f.lists++; f.lists <= f.lapsed {
+		return l, nil
+	}
 	for _, name := range []string{"l1", "l2", "l3", "l4", "l5"} {
 		l.Instances[name] = carobbend.Instance{Name: name, CallerAddress: "127.0.0.1:1", Capacity: 0.8}
 	}
@@ -34,7 +42,7 @@
 	return l, nil
 }
 
-func (f feed) Changes(
+func (f *feed) Changes(
 	ctx context.Context, _ carobbend.FeedScope, after uint64, wait time.Duration,
 ) ([]carobbend.FeedChange, uint64, error) {
 	select {
@@ -65,7 +73,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				x := newForwardInstance("", &settings.Forward{Instance: "x", Cores: c.cores, Lease: time.Second})
-				x.follow(feed{silent: c.silent})
+				x.follow(&feed{silent: c.silent})
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan error, 1)
 				go func() { done <- x.follower.Run(ctx) }()
@@ -89,3 +97,35 @@
 		})
 	}
 }
+
+// TestReserveLooksTwice guards against a reserve that serves as a whole after an outage of the store, in which the entries
+// of all instances lapsed: it reads the list again before it decides.
+func TestReserveLooksTwice(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		lapsed int
+		want   bool
+	}{
+		{"large ones are there", 0, false},
+		{"large ones are back at the second look", 1, false},
+		{"large ones are gone", 100, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newForwardInstance("", &settings.Forward{Instance: "x", Cores: 0.2, Lease: time.Second})
+				x.follow(&feed{lapsed: c.lapsed})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- x.follower.Run(ctx) }()
+				time.Sleep(10 * time.Second)
+				if got := x.active.Load(); got != c.want {
+					t.Errorf("out of reserve: got %v, want %v", got, c.want)
+				}
+				cancel()
+				if err := <-done; !errors.Is(err, context.Canceled) {
+					t.Errorf("got %v, want canceled", err)
+				}
+			})
+		})
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -75,6 +75,8 @@
 	scope  carobbend.FeedScope
 	// wake ends the wait for changes.
 	wake chan struct{}
+	// stale says that everything is to be read anew.
+	stale atomic.Bool
 	// doubted says that another call to the store failed.
 	doubted atomic.Bool
 	// away says that the last call failed; failures counts those in a row.
@@ -108,6 +110,12 @@
 	}
 }
 
+// Refresh reads everything in scope anew instead of waiting for changes.
+func (f *Follower) Refresh() {
+	f.stale.Store(true)
+	f.interrupt()
+}
+
 func (f *Follower) interrupt() {
 	select {
 	case f.wake <- struct{}{}:
@@ -165,6 +173,9 @@
 		f.log.Info("scope changed", "everything", scope == carobbend.ScopeAll, "revision", f.revision)
 		f.scope, f.synced = scope, false
 	}
+	if f.stale.Swap(false) {
+		f.synced = false
+	}
 	if !f.synced {
 		return true, f.list(ctx)
 	}
