Let callers keep address answers for four seconds

With answers valid for one second and few requests a caller, most requests began with a question for addresses: two round trips of 6 ms before the connection.

Ruled out: late timers (took-ms is 50 at the 99th percentile); the time of a new connection, which is reckoned with.

TestSparseCallersRarelyAsk fails on the former code.

--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -24,8 +24,10 @@
 	maxAddresses = 64
 	// enoughNear is the number of instances in a caller's data centre that are named without those of others.
 	enoughNear = 2
-	// validity is how long a caller may keep an answer. Some keep it three times as long, which a drain waits for.
-	validity = time.Second
+	// validity is how long a caller may keep an answer. A caller without a valid one asks before its request, which costs two
+	// round trips; with 1 s, callers of one request a second asked before each. Callers whose answer names a stopped instance
+	// are refused as not run, or can't connect, and try another one.
+	validity = 4 * time.Second
 )
 
 // Steerer answers callers. The zero value knows no instance.
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -130,3 +130,22 @@
 		}
 	}
 }
+
+// TestSparseCallersRarelyAsk guards against callers that ask for addresses before nearly each request, since answers end
+// sooner than they send the next one: the question takes longer than what is left of a short latency target.
+func TestSparseCallersRarelyAsk(t *testing.T) {
+	var s Steerer
+	s.SetSelf(instance("a1", "a", 1), true)
+	const requests = 60
+	asked := 0
+	for i, until := 0, time.Duration(0); i < requests; i++ {
+		if now := time.Duration(i) * time.Second; now >= until {
+			a, _ := s.Addresses("a")
+			asked++
+			until = now + a.ValidFor
+		}
+	}
+	if asked > requests/3 {
+		t.Errorf("at one request a second: got a question before %d of %d requests, want at most a third", asked, requests)
+	}
+}
