--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -240,6 +240,8 @@
 			t.Errorf("lists read when asked to serve: got %d, want 1", got)
 		}
 		cancel()
-		<-done
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("run: got %v, want canceled", err)
+		}
 	})
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -82,8 +82,9 @@
 func (s *Steerer) Addresses(dc carobbend.DataCentre) (carobbend.Addresses, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var near, all []string
-	for _, x := range s.named() {
+	named := s.named()
+	all, near := make([]string, 0, len(named)), make([]string, 0, len(named))
+	for _, x := range named {
 		all = append(all, x.CallerAddress)
 		if x.DataCentre == dc {
 			near = append(near, x.CallerAddress)
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -103,8 +103,9 @@
 
 // TestSmallOnesAreLeft guards against callers that stay on small instances, which are slow, after the large ones are back.
 func TestSmallOnesAreLeft(t *testing.T) {
-	var list []carobbend.Instance
-	for i := range 6 {
+	const pairs = 6
+	list := make([]carobbend.Instance, 0, 2*pairs)
+	for i := range pairs {
 		list = append(list, instance(fmt.Sprint("l", i), "a", 0.8), instance(fmt.Sprint("s", i), "a", 0.2))
 	}
 	busy := slices.Clone(list)
