--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -51,6 +51,9 @@
 	maxRefusals = 2
 	// hedgePause is the time until a hedge that was denied is tried again.
 	hedgePause = 10 * time.Millisecond
+	// maxHedged is the greatest share of the shards for which hedges are open at a time. Where more are late, the cause isn't a
+	// straggler: this instance is slow itself, or the whole index is, and hedges would add to it.
+	maxHedged = 0.34
 	// coverageSlack absorbs the rounding of a share that is a whole number of shards.
 	coverageSlack = 1e-9
 )
@@ -241,6 +244,17 @@
 	}
 }
 
+// hedged returns the number of shards without a reply for which more than one attempt is open.
+func (g *Gather) hedged() int {
+	n := 0
+	for i := range g.shards {
+		if s := &g.shards[i]; !s.covered && s.open > 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // Next returns what to do now. It is called again after the attempts that it asks for were started or denied.
 func (g *Gather) Next(now time.Time) Step {
 	g.askSkipped()
@@ -261,12 +275,17 @@
 	if a := g.plan.AnswerBy; !a.IsZero() && now.Before(a) && a.Before(step.Until) {
 		step.Until = a
 	}
+	hedges := int(math.Ceil(maxHedged*float64(g.plan.Shards))) - g.hedged()
 	for i := range g.shards {
 		s := &g.shards[i]
 		if s.covered || s.lost || s.open != 1 || s.hedgeAt.IsZero() || s.runs >= g.plan.Attempts {
 			continue
 		}
+		if !now.Before(s.hedgeAt) && hedges <= 0 {
+			s.hedgeAt = now.Add(hedgePause)
+		}
 		if !now.Before(s.hedgeAt) {
+			hedges--
 			step.Ask = append(step.Ask, Ask{Shard: i, Hedge: true})
 		} else if s.hedgeAt.Before(step.Until) {
 			step.Until = s.hedgeAt
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -267,3 +267,41 @@
 		Merge(50, parts...)
 	}
 }
+
+// TestNoWaveOfHedges guards against a second request to each shard where all are late: a slow instance, or a slow index,
+// would get twice its load, and the extra requests that stragglers need later would be spent.
+func TestNoWaveOfHedges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := New(Plan{
+		Shards: 100, MinCoverage: 0.95, Attempts: 2, Repeatable: true, HedgeDelay: 40 * time.Millisecond,
+		AnswerBy: now.Add(150 * time.Millisecond), Deadline: now.Add(time.Second),
+	})
+	for i := range 100 {
+		g.Sent(i, now)
+	}
+	asked := 0
+	for at := 0 * time.Millisecond; at < 120*time.Millisecond; at += time.Millisecond {
+		for _, a := range g.Next(now.Add(at)).Ask {
+			g.Sent(a.Shard, now.Add(at))
+			asked++
+		}
+	}
+	if asked == 0 || asked > 34 {
+		t.Errorf("all shards late: got %d hedges, want some and at most 34", asked)
+	}
+	// Once most have replied, the stragglers are hedged.
+	for i := range 90 {
+		g.Replied(i)
+	}
+	for at := 120 * time.Millisecond; at < 140*time.Millisecond; at += time.Millisecond {
+		for _, a := range g.Next(now.Add(at)).Ask {
+			g.Sent(a.Shard, now.Add(at))
+			asked++
+		}
+	}
+	for i := 90; i < 100; i++ {
+		if g.shards[i].open != 2 {
+			t.Errorf("straggler %d: got %d attempts open, want 2", i, g.shards[i].open)
+		}
+	}
+}
