--- a/exchanger/reply.go
+++ b/exchanger/reply.go
@@ -81,7 +81,8 @@
 	c.wire.expectHeads()
 	for range maxInterim + 1 {
 		c.wire.expectHead()
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: method}) //nolint:bodyclose // The body is read later, or the connection is closed.
+		//nolint:bodyclose // The body is read to its end later, or the connection is closed.
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
 			return message{}, cmp.Or(c.wire.exceeded, err)
 		}
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -245,7 +245,7 @@
 }
 
 // asleep returns for how long the machine was suspended since the time that is left was brought up to date.
-func (q *query) asleep() time.Duration { return q.asleepSince(q.suspended)() }
+func (q *query) asleep() time.Duration { return q.f.Suspended() - q.suspended }
 
 // asleepSince returns asleep as it stands now, for use on other goroutines.
 func (q *query) asleepSince(suspended time.Duration) func() time.Duration {
