--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -28,8 +28,8 @@
 	maxHeaderBytes = 256 << 10
 	// headerTimeout bounds the time for reading the headers of a request.
 	headerTimeout = 10 * time.Second
-	// acceptPart is the part of the time to the kill in which a draining instance accepts work: callers drop its address
-	// within three times the validity of an address answer, and what was accepted needs the rest of the time.
+	// acceptPart is the part of the time to the kill in which a draining instance accepts work; what was accepted needs the
+	// rest. Callers may hold its address for longer: they are refused as not run, or can't connect, and try another one.
 	acceptPart = 0.5
 	// answerPart is the part of the time to the kill after which requests in flight are answered as failed, exitPart that
 	// after which the process exits whatever is in flight.
