Let the claimer hold the older partition before the test's other writer swaps

Claim returns when the swap is settled; the read-ahead of the partition follows. Where the other claimer's swap came before that read, the first claimer held the new state, and no conflict was due.

Ruled out: a lost count, and a grant from the outdated state (both statuses were right in all failing runs).

Conclusion: the test waits until the first claimer is idle, so that it always holds the older state; the conflict is now certain in place of likely. The product is unchanged.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -218,6 +218,8 @@
 		store := emulator.NewStore()
 		x, y := New(store, nil, WithPartitions(1)), New(store, nil, WithPartitions(1))
 		wantStatus(t, "x", x.Claim(t.Context(), "k", fp, "a"), StatusOwned)
+		// A claim returns before the claimer reads the partition ahead; x must hold the state before y's write.
+		synctest.Wait()
 		wantStatus(t, "y", y.Claim(t.Context(), "l", fp, "b"), StatusOwned)
 		wantStatus(t, "x after y", x.Claim(t.Context(), "l", fp, "a"), StatusTaken)
 		wantStatus(t, "y releases", y.Release(t.Context(), "l", fp, "b"), StatusReleased)
