Ask upstreams that shed at random again, and let their shards pass the gate

A shed was taken for a full queue (a load of 3), and the share of sheds multiplied the expected latency, so that the gate refused 438 of 904 logged queries whose shards were fast. A retry was never sent to an upstream that had shed, so that a shard with two of them was lost after two sheds.

Change: balancer keeps sheds with reported room apart from failures; they cost the time of a refusal each in the outlook. A query may ask such an upstream again, for single requests nothing changes.

Ruled out: the budget of extra requests (1.1 retries a failed query, while the bound had room for about that many on each of three shards).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -35,6 +35,9 @@
 // upstream slower than any latency target.
 const leastSuccess = 0.02
 
+// refusalTime is the time that a refused request takes: a round trip between data centres and the timers of both ends.
+const refusalTime = 4 * time.Millisecond
+
 // ownPart is the weight of this instance's requests in flight where they stand for those of all instances. With 1, an
 // instance that has more requests at an upstream than the others by chance foresees queues that aren't there.
 const ownPart = 0.5
@@ -220,13 +223,13 @@
 		n.load, n.loadAt = load, now
 	}
 	if b.overdue && kind != carobbend.FailureCanceled && kind != carobbend.FailureSnapshotGone {
-		n.ended(now, kind != carobbend.FailureNone)
+		n.ended(now, kind, load)
 	}
 	switch kind {
 	case carobbend.FailureNone:
 		n.succeeded(now, latency)
 	case carobbend.FailureShed:
-		n.shed(now)
+		n.shed(now, load)
 	case carobbend.FailureLeaving:
 		n.setLeaving(now, true)
 	case carobbend.FailureSnapshotGone:
@@ -338,8 +341,9 @@
 
 // Outlook returns the latency that a new request may expect at the best candidate, for a kind of request whose usual
 // latency is given: what the upstream's replies took lately, or what its queue takes at wait for each request per slot,
-// whichever is longer, for as many attempts as the share of failures asks for. Ejected candidates count where there is no
-// other one.
+// whichever is longer, for as many attempts as the share of failures asks for. Requests that are shed although the upstream
+// has room cost the time of a refusal each: what the upstream takes is as fast as ever. Ejected candidates count where
+// there is no other one.
 func (b *Balancer) Outlook(now time.Time, candidates []carobbend.UpstreamID, usual, wait time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -352,8 +356,9 @@
 			}
 			smoothed := n.expected(now, float64(referenceLatency), b.forget) / float64(referenceLatency) * float64(usual)
 			queued := float64(usual) + max(n.backlog(now)-1, b.ownBacklog(n)-1, 0)*float64(wait)
-			attempts := 1 / max(1-n.faultNow(now), leastSuccess)
-			lowest = min(lowest, max(smoothed, queued)*attempts)
+			attempts := 1 / max(1-n.fault.now(now), leastSuccess)
+			refusals := 1/max(n.acceptance(now), leastSuccess) - 1
+			lowest = min(lowest, max(smoothed, queued)*attempts+refusals*float64(refusalTime))
 		}
 		if !math.IsInf(lowest, 1) {
 			break
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -84,9 +84,10 @@
 	observedAt time.Time
 	penalty    float64
 	penaltyAt  time.Time
-	// fault is the smoothed share of requests that failed or were shed.
-	fault     float64
-	faultAt   time.Time
+	// fault is the smoothed share of requests that failed, or were shed for want of room; refused is that of requests
+	// which were shed although the upstream reported room.
+	fault     share
+	refused   share
 	shedUntil time.Time
 	load      float64
 	loadAt    time.Time
@@ -106,26 +107,51 @@
 	if hint {
 		s *= 1 + n.hint(now)
 	}
-	return s * (1 + faultFactor*n.faultNow(now))
+	return s * (1 + faultFactor*(1-(1-n.fault.now(now))*(1-n.refused.now(now))))
 }
 
-// faultNow is the share of failures, which is forgotten with time.
-func (n *node) faultNow(now time.Time) float64 {
-	if n.fault == 0 {
+// share is a smoothed share of requests, which is forgotten with time. The zero value is 0.
+type share struct {
+	value float64
+	at    time.Time
+}
+
+func (s *share) now(now time.Time) float64 {
+	if s.value == 0 {
 		return 0
 	}
-	return n.fault * math.Exp(-float64(now.Sub(n.faultAt))/float64(faultWindow))
+	return s.value * math.Exp(-float64(now.Sub(s.at))/float64(faultWindow))
 }
 
-// ended counts a request in the share of failures.
-func (n *node) ended(now time.Time, failed bool) {
-	f := n.faultNow(now)
-	if failed {
-		f += faultRise * (1 - f)
+// count adds a request that belongs to the share, or one that doesn't.
+func (s *share) count(now time.Time, belongs bool) {
+	v := s.now(now)
+	if belongs {
+		v += faultRise * (1 - v)
 	} else {
-		f -= faultFall * f
+		v -= faultFall * v
+	}
+	s.value, s.at = v, now
+}
+
+// ended counts a request in the shares of failures.
+func (n *node) ended(now time.Time, kind carobbend.FailureKind, load float64) {
+	switch {
+	case kind == carobbend.FailureNone:
+		n.fault.count(now, false)
+		n.refused.count(now, false)
+	case kind == carobbend.FailureShed && HasRoom(load):
+		n.refused.count(now, true)
+	default:
+		n.fault.count(now, true)
 	}
-	n.fault, n.faultAt = f, now
+}
+
+// acceptance is the share of requests that the upstream takes although it sheds others at random. It undoes the different
+// weights of faultRise and faultFall.
+func (n *node) acceptance(now time.Time) float64 {
+	r := n.refused.now(now)
+	return 1 - r*faultFall/(faultRise-r*(faultRise-faultFall))
 }
 
 // expected is the latency that a request has now.
@@ -251,10 +277,17 @@
 	}
 }
 
-func (n *node) shed(now time.Time) {
+// HasRoom reports whether an upstream that reports this load, in requests per slot, could take another request. A negative
+// load was not reported.
+func HasRoom(load float64) bool { return load >= 0 && load < fullBacklog }
+
+// shed records a refusal. Where the upstream reports room, the refusal says nothing about its queue.
+func (n *node) shed(now time.Time, load float64) {
 	n.failures = 0
 	n.shedUntil = now.Add(shedPause)
-	n.load, n.loadAt = fullLoad, now
+	if !HasRoom(load) {
+		n.load, n.loadAt = fullLoad, now
+	}
 }
 
 func (n *node) addPenalty(now time.Time) {
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -73,6 +73,9 @@
 	attempt *exchanger.Attempt
 	reply   *exchanger.Reply
 	kind    carobbend.FailureKind
+	// upstream was asked; room says that it shed the request although it reported room.
+	upstream carobbend.UpstreamID
+	room     bool
 }
 
 func (q *query) routeName() string {
@@ -182,7 +185,7 @@
 )
 
 // maxSpare is the room for results of a shard beyond its attempts; package gatherer allows fewer that end as not run.
-const maxSpare = 3
+const maxSpare = 5
 
 // run moves the gather on until it ends or the caller leaves.
 func (q *query) run(ctx context.Context) gatherer.Step {
@@ -327,7 +330,8 @@
 	if q.f.Recorder != nil {
 		q.f.Recorder.Attempted(attempt, kind)
 	}
-	return result{shard: shard, attempt: a, reply: reply, kind: kind}
+	room := kind == carobbend.FailureShed && balancer.HasRoom(load)
+	return result{shard: shard, attempt: a, reply: reply, kind: kind, upstream: sent.Upstream(), room: room}
 }
 
 // kindOf says what a complete reply is worth.
@@ -362,6 +366,11 @@
 	if res.reply != nil && res.kind == carobbend.FailureBroken {
 		q.failure = res.reply
 	}
+	if res.room && q.fansOut() {
+		// An upstream that sheds at random may take the next attempt. A request that may run once isn't sent there again:
+		// a second copy of the refusal would hide that it ran.
+		q.asked[res.shard] = slices.DeleteFunc(q.asked[res.shard], func(id carobbend.UpstreamID) bool { return id == res.upstream })
+	}
 	q.gather.Failed(res.shard, res.kind)
 }
 
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -48,7 +48,7 @@
 
 const (
 	// maxRefusals is the number of attempts of a shard, beyond Plan.Attempts, that may end as not run.
-	maxRefusals = 2
+	maxRefusals = 4
 	// hedgePause is the time until a hedge that was denied is tried again.
 	hedgePause = 10 * time.Millisecond
 	// maxHedged is the greatest share of the shards for which hedges are open at a time. Where more are late, the cause isn't a
