Hold sound shards back while doubtful ones decide, and spend retries where they complete a query

Change: where fewer shards are sure than the answer needs, sound shards are asked once enough doubtful ones took their requests. A retry after a shed that isn't needed, or of which more than one is needed, may use half of the allowance; one that completes a query all of it. Postponed retries are made where another shard is lost.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -367,6 +367,27 @@
 	return time.Duration(min(lowest, float64(noOutlook)))
 }
 
+// Acceptance returns the greatest share of requests that a candidate takes lately, where others are shed although the
+// candidate has room. Ejected candidates count where there is no other one.
+func (b *Balancer) Acceptance(now time.Time, candidates []carobbend.UpstreamID) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, ejected := range []bool{false, true} {
+		best, found := 0.0, false
+		for _, id := range candidates {
+			n := b.node(now, id)
+			if n.leaving || now.Before(n.ejectedUntil) != ejected {
+				continue
+			}
+			best, found = max(best, n.acceptance(now)), true
+		}
+		if found {
+			return best
+		}
+	}
+	return 0
+}
+
 // ownBacklog is the number of requests per slot that this instance's requests in flight stand for. During a pause of the
 // upstream nothing else shows its queue.
 func (b *Balancer) ownBacklog(n *node) float64 {
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -52,6 +52,8 @@
 	gather  *gatherer.Gather
 	results chan result
 	open    map[*exchanger.Attempt]struct{}
+	// granted says that a retry was made which the answer needs.
+	granted bool
 	// asked holds the upstreams of each shard that were asked.
 	asked [][]carobbend.UpstreamID
 	parts []*exchanger.Reply
@@ -132,8 +134,8 @@
 		return
 	}
 	for i := range q.services {
-		if !q.gather.IsSkipped(i) {
-			q.attempt(ctx, now, i, AttemptPrimary)
+		if !q.gather.IsSkipped(i) && !q.gather.IsHeld(i) {
+			q.attempt(ctx, now, gatherer.Ask{Shard: i, First: true})
 		}
 	}
 	switch step := q.run(ctx); {
@@ -166,9 +168,33 @@
 		q.gather.Skip(i)
 		q.skips++
 	}
+	q.hold(now)
 	return nil
 }
 
+// hold delays the requests to sound shards where so many others shed at random that the query may well fail for them: the work
+// of the sound ones would be lost.
+func (q *query) hold(now time.Time) {
+	sure := 0.0
+	var sound []int
+	for i, service := range q.services {
+		if q.gather.IsSkipped(i) {
+			continue
+		}
+		a := q.f.Balancer.Acceptance(now, q.f.fleet.Candidates(service))
+		sure += a
+		if a >= soundAcceptance {
+			sound = append(sound, i)
+		}
+	}
+	if sure >= float64(q.gather.Need()) {
+		return
+	}
+	for _, i := range sound {
+		q.gather.Hold(i)
+	}
+}
+
 // mayReturn reports whether the caller has the time to come back with a fair chance.
 func (q *query) mayReturn(now time.Time) bool {
 	return q.deadline.Sub(now) > returnMin+returnSpread
@@ -182,6 +208,11 @@
 	// again.
 	returnMin    = 100 * time.Millisecond
 	returnSpread = 300 * time.Millisecond
+	// soundAcceptance is the share of requests that an upstream takes which doesn't count as shedding at random.
+	soundAcceptance = 0.8
+	// spareAllowance is the part of the allowance of extra requests that retries after a shed may use where the answer doesn't
+	// need them, or needs more than one. The rest is left to queries that one retry completes.
+	spareAllowance = 0.5
 )
 
 // maxSpare is the room for results of a shard beyond its attempts; package gatherer allows fewer that end as not run.
@@ -204,14 +235,7 @@
 				}
 			}
 			for _, a := range step.Ask {
-				kind := AttemptRetry
-				switch {
-				case a.Hedge:
-					kind = AttemptHedge
-				case a.First:
-					kind = AttemptPrimary
-				}
-				q.attempt(ctx, now, a.Shard, kind)
+				q.attempt(ctx, now, a)
 			}
 			continue
 		}
@@ -269,8 +293,15 @@
 }
 
 // attempt starts an attempt or tells the gather that it can't be started.
-func (q *query) attempt(ctx context.Context, now time.Time, shard int, kind AttemptKind) {
-	f, service := q.f, q.services[shard]
+func (q *query) attempt(ctx context.Context, now time.Time, ask gatherer.Ask) {
+	kind := AttemptRetry
+	switch {
+	case ask.Hedge:
+		kind = AttemptHedge
+	case ask.First:
+		kind = AttemptPrimary
+	}
+	f, shard, service := q.f, ask.Shard, q.services[ask.Shard]
 	s, _ := q.table.Service(service)
 	id, ok := f.Balancer.Pick(now, f.fleet.Candidates(service), q.asked[shard])
 	if !ok || (kind != AttemptPrimary && slices.Contains(q.asked[shard], id)) {
@@ -282,8 +313,12 @@
 		q.gather.Denied(shard, now)
 		return
 	}
-	if kind != AttemptPrimary && !f.Allowance.Spend(now, service) {
-		q.gather.Denied(shard, now)
+	if kind != AttemptPrimary && !f.Allowance.SpendWithin(now, service, q.part(ask)) {
+		if ask.Shed && ask.Lack <= 0 {
+			q.gather.Postpone(shard)
+		} else {
+			q.gather.Denied(shard, now)
+		}
 		return
 	}
 	switch kind {
@@ -291,6 +326,7 @@
 		q.hedges++
 	case AttemptRetry:
 		q.retries++
+		q.granted = q.granted || ask.Lack > 0
 	case AttemptPrimary:
 	}
 	sent := f.Balancer.Begin(now, id, q.usual)
@@ -305,6 +341,19 @@
 	}()
 }
 
+// part returns the part of the allowance that an extra request may use. A query that was granted a retry keeps its place, so
+// that what was spent on it isn't lost.
+func (q *query) part(ask gatherer.Ask) float64 {
+	switch {
+	case !ask.Shed || !q.fansOut():
+		return 1
+	case ask.Lack == 1 || (ask.Lack > 1 && q.granted):
+		return 1
+	default:
+		return spareAllowance
+	}
+}
+
 // judge tells the balancer how an attempt ended. It runs on the attempt's goroutine and may outlive the query.
 func (q *query) judge(
 	began time.Time, sent balancer.Request, shard int, a *exchanger.Attempt, attempt AttemptKind,
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -56,6 +56,9 @@
 	maxHedged = 0.34
 	// coverageSlack absorbs the rounding of a share that is a whole number of shards.
 	coverageSlack = 1e-9
+	// acceptTime is the time after which an attempt that wasn't shed counts as taken. Upstreams shed at once: in trials a
+	// refusal took 2 to 4 ms.
+	acceptTime = 5 * time.Millisecond
 )
 
 // Action is what a Step asks for.
@@ -85,6 +88,10 @@
 	Shard int
 	// Hedge says that another attempt is still open, First that none was made before; otherwise the last one failed.
 	Hedge, First bool
+	// Shed says that the last attempt was shed, Lack how many shards the answer lacks without such attempts; 0 or less says
+	// that it doesn't need this one.
+	Shed bool
+	Lack int
 }
 
 // Step is the next thing to do.
@@ -103,7 +110,13 @@
 	covered bool
 	// lost says that no further attempt will be made, skipped that none was made although one could be.
 	lost, skipped bool
-	open          int
+	// held says that the shard is asked once enough others took their requests.
+	held bool
+	// shed says that the last attempt was shed.
+	shed bool
+	open int
+	// sentAt is the time of the last attempt.
+	sentAt time.Time
 	// runs counts the attempts that may have run, asked all of them.
 	runs, asked int
 	hedgeAt     time.Time
@@ -149,6 +162,7 @@
 	s.open++
 	s.runs++
 	s.asked++
+	s.shed, s.sentAt = false, now
 	if s.asked == 1 && g.plan.HedgeDelay > 0 && g.plan.Repeatable {
 		s.hedgeAt = now.Add(g.plan.HedgeDelay)
 	} else {
@@ -163,6 +177,42 @@
 	g.lose(&g.shards[i])
 }
 
+// Hold delays the first attempt of a shard until so many others took their requests that the answer is likely. An upstream
+// that sheds at random then doesn't cost the work of all others.
+func (g *Gather) Hold(i int) { g.shards[i].held = true }
+
+// IsHeld reports whether the first attempt of a shard is delayed.
+func (g *Gather) IsHeld(i int) bool { return g.shards[i].held }
+
+// release asks the held shards once the least coverage is likely, or returns the time of the next look.
+func (g *Gather) release(now time.Time) time.Time {
+	held, taken := 0, g.covered
+	var next time.Time
+	for i := range g.shards {
+		s := &g.shards[i]
+		at := s.sentAt.Add(acceptTime)
+		switch {
+		case s.covered || s.lost:
+		case s.held:
+			held++
+		case s.open > 0 && !now.Before(at):
+			taken++
+		case s.open > 0 && (next.IsZero() || at.Before(next)):
+			next = at
+		}
+	}
+	if held == 0 || taken+held < g.need {
+		return next
+	}
+	for i := range g.shards {
+		if s := &g.shards[i]; s.held {
+			s.held = false
+			g.ask = append(g.ask, Ask{Shard: i, First: true})
+		}
+	}
+	return time.Time{}
+}
+
 // askSkipped asks skipped shards while too few others are left.
 func (g *Gather) askSkipped() {
 	for i := range g.shards {
@@ -173,7 +223,7 @@
 		if s.skipped && s.lost {
 			s.skipped, s.lost = false, false
 			g.lost--
-			g.ask = append(g.ask, Ask{Shard: i, First: true})
+			g.ask = append(g.ask, Ask{Shard: i, First: s.asked == 0, Shed: s.shed})
 		}
 	}
 }
@@ -202,6 +252,10 @@
 	g.lose(s)
 }
 
+// Postpone records that an attempt which the answer doesn't need wasn't started. It is made after all where another shard is
+// lost.
+func (g *Gather) Postpone(i int) { g.Skip(i) }
+
 // Replied records a reply that covers the shard and returns false where it isn't the first one.
 func (g *Gather) Replied(i int) bool {
 	s := &g.shards[i]
@@ -234,7 +288,29 @@
 		g.lose(s)
 		return
 	}
-	g.ask = append(g.ask, Ask{Shard: i})
+	s.shed = kind == carobbend.FailureShed
+	g.ask = append(g.ask, Ask{Shard: i, Shed: s.shed})
+}
+
+// rank states for each attempt after a shed whether the answer needs it: as many as it lacks, in order.
+func (g *Gather) rank() {
+	waiting := 0
+	for _, a := range g.ask {
+		if a.Shed {
+			waiting++
+		}
+	}
+	if waiting == 0 {
+		return
+	}
+	lack := g.need - (g.plan.Shards - g.lost - waiting)
+	needed := lack
+	for i := range g.ask {
+		if a := &g.ask[i]; a.Shed && needed > 0 {
+			a.Lack = lack
+			needed--
+		}
+	}
 }
 
 func (g *Gather) lose(s *shard) {
@@ -270,8 +346,13 @@
 	case g.covered+open < g.need:
 		return Step{Action: Fail, Reason: ReasonShards}
 	}
+	look := g.release(now)
+	g.rank()
 	step := Step{Action: Wait, Ask: g.ask, Until: g.plan.Deadline}
 	g.ask = nil
+	if !look.IsZero() && look.Before(step.Until) {
+		step.Until = look
+	}
 	if a := g.plan.AnswerBy; !a.IsZero() && now.Before(a) && a.Before(step.Until) {
 		step.Until = a
 	}
--- /dev/null
+++ b/gatherer/shedding_test.go
@@ -0,0 +1,227 @@
+package gatherer_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/balancer"
+	"carobbend.example/carobbend/gatherer"
+	"carobbend.example/carobbend/hedger"
+)
+
+// The load pattern: most upstreams of an index shed three fifths of their requests at random for some seconds although they
+// have room. Three of ten shards have no other upstream, and an answer needs nine shards.
+const (
+	shedding     = 3 // shards of which both upstreams shed; the others have a sound one beside
+	shedShare    = 0.6
+	shedRate     = 200.0 // queries a second, five sixths of what one sound upstream can do
+	shedWork     = 12500 * time.Microsecond
+	shedReply    = 2 * time.Millisecond
+	shedTarget   = 120 * time.Millisecond
+	shedCoverage = 0.89
+	extraRatio   = 0.19
+	extraSlack   = 44
+)
+
+// sheddingLoad plays queries against shedding upstreams in virtual time.
+type sheddingLoad struct {
+	rng        *rand.Rand
+	balancer   *balancer.Balancer
+	allowance  *hedger.Allowance
+	upstreams  map[carobbend.UpstreamID]*simulated
+	grey       map[carobbend.UpstreamID]bool
+	candidates [][]carobbend.UpstreamID
+	services   []string
+	gate       gatherer.Gate
+	events     events
+
+	asked, inTime, requests, extra int
+}
+
+func newSheddingLoad(seed uint64) *sheddingLoad {
+	l := &sheddingLoad{
+		rng:       rand.New(rand.NewPCG(seed, 2)),
+		balancer:  balancer.New(balancer.WithOverdue(), balancer.WithAllCandidates(), balancer.WithForgetting(time.Second), balancer.WithSeed(seed)),
+		allowance: hedger.NewAllowance(10 * time.Second),
+		upstreams: map[carobbend.UpstreamID]*simulated{}, grey: map[carobbend.UpstreamID]bool{},
+	}
+	for i := range shards {
+		l.services = append(l.services, string(rune('a'+i)))
+		var ids []carobbend.UpstreamID
+		for j := range 2 {
+			id := carobbend.UpstreamID([]byte{'a' + byte(i), '0' + byte(j)})
+			l.upstreams[id] = &simulated{id: id}
+			l.grey[id] = i < shedding || j == 1
+			ids = append(ids, id)
+		}
+		l.candidates = append(l.candidates, ids)
+	}
+	return l
+}
+
+// play returns the share of queries that are answered within the target.
+func (l *sheddingLoad) play() float64 {
+	start := time.Unix(1000, 0)
+	l.allowance.Set(start.Add(-time.Minute), extraRatio, extraSlack)
+	for at := start; at.Before(start.Add(length)); at = at.Add(time.Duration(l.rng.ExpFloat64() / shedRate * float64(time.Second))) {
+		heap.Push(&l.events, event{at, l.query})
+	}
+	for l.events.Len() > 0 {
+		if ev, ok := heap.Pop(&l.events).(event); ok {
+			ev.do(ev.at)
+		}
+	}
+	return float64(l.inTime) / float64(l.asked)
+}
+
+func (l *sheddingLoad) query(now time.Time) {
+	l.asked++
+	l.requests++
+	l.allowance.Requested(now, l.services...)
+	q := &sheddingQuery{l: l, began: now, g: gatherer.New(gatherer.Plan{
+		Shards: shards, MinCoverage: shedCoverage, Attempts: 3, Repeatable: true,
+		AnswerBy: now.Add(shedTarget), Deadline: now.Add(6 * shedTarget),
+	})}
+	expected := make([]time.Duration, shards)
+	sure := 0.0
+	for i := range shards {
+		expected[i] = l.balancer.Outlook(now, l.candidates[i], shedWork, shedWork)
+		sure += l.balancer.Acceptance(now, l.candidates[i])
+	}
+	skip, ok := l.gate.Admit(now, expected, shedTarget, q.g.Need())
+	if !ok {
+		return
+	}
+	for _, i := range skip {
+		q.g.Skip(i)
+	}
+	for i := range shards {
+		switch {
+		case q.g.IsSkipped(i):
+		case sure < float64(q.g.Need()) && l.balancer.Acceptance(now, l.candidates[i]) >= 0.8:
+			q.g.Hold(i)
+		default:
+			q.send(now, i)
+		}
+	}
+	q.next(now)
+}
+
+// sheddingQuery is one query in flight.
+type sheddingQuery struct {
+	l     *sheddingLoad
+	g     *gatherer.Gather
+	began time.Time
+	done  bool
+}
+
+func (q *sheddingQuery) send(now time.Time, shard int) {
+	l := q.l
+	id, _ := l.balancer.Pick(now, l.candidates[shard], nil)
+	u, r := l.upstreams[id], l.balancer.Begin(now, id, shedWork)
+	q.g.Sent(shard, now)
+	kind, end := carobbend.FailureShed, now.Add(shedReply)
+	if !l.grey[id] || l.rng.Float64() >= shedShare {
+		if at, ok := u.accept(now, time.Duration(float64(shedWork)*(0.7+0.6*l.rng.Float64()))); ok {
+			kind, end = carobbend.FailureNone, at
+		}
+	}
+	heap.Push(&l.events, event{end, func(at time.Time) {
+		l.balancer.End(at, r, kind, u.load())
+		switch {
+		case q.done:
+		case kind == carobbend.FailureNone:
+			q.g.Replied(shard)
+		default:
+			q.g.Failed(shard, kind)
+		}
+		q.next(at)
+	}})
+}
+
+func (q *sheddingQuery) next(now time.Time) {
+	for !q.done {
+		step := q.g.Next(now)
+		if step.Action != gatherer.Wait {
+			q.done = true
+			if step.Action == gatherer.Answer && now.Sub(q.began) <= shedTarget {
+				q.l.inTime++
+			}
+			return
+		}
+		if len(step.Ask) == 0 {
+			heap.Push(&q.l.events, event{step.Until, q.next})
+			return
+		}
+		for _, a := range step.Ask {
+			part := 1.0
+			if a.Shed && a.Lack != 1 {
+				part = 0.5
+			}
+			switch {
+			case a.First:
+				q.send(now, a.Shard)
+			case q.l.allowance.SpendWithin(now, q.l.services[a.Shard], part):
+				q.l.extra++
+				q.send(now, a.Shard)
+			case a.Shed && a.Lack <= 0:
+				q.g.Postpone(a.Shard)
+			default:
+				q.g.Denied(a.Shard, now)
+			}
+		}
+	}
+}
+
+// TestRandomSheds guards against queries that are refused, or lost after two sheds, while upstreams that shed at random
+// have room. First attempts alone complete 0.35 of the queries, and one retry each for a fifth of them, spent where it
+// completes a query, raises that to 0.6.
+func TestRandomSheds(t *testing.T) {
+	const want = 0.5
+	for seed := range uint64(3) {
+		l := newSheddingLoad(seed)
+		got := l.play()
+		t.Logf("seed %d: in time %.2f, extra %d of %d", seed, got, l.extra, l.requests*shards)
+		if got < want {
+			t.Errorf("seed %d: got %.2f of the queries in time, want at least %.2f", seed, got, want)
+		}
+	}
+}
+
+// TestHold guards against sound shards that are asked before the doubtful ones took their requests, and against ones that are
+// never asked.
+func TestHold(t *testing.T) {
+	start := time.Unix(1000, 0)
+	g := gatherer.New(gatherer.Plan{Shards: 4, MinCoverage: 0.75, Attempts: 2, Repeatable: true, Deadline: start.Add(time.Second)})
+	g.Hold(2)
+	g.Hold(3)
+	g.Sent(0, start)
+	g.Sent(1, start)
+	if step := g.Next(start.Add(time.Millisecond)); len(step.Ask) != 0 || step.Until.Sub(start) > 10*time.Millisecond {
+		t.Errorf("before any is taken: got %v until %v, want none and a look within 10 ms", step.Ask, step.Until.Sub(start))
+	}
+	g.Failed(0, carobbend.FailureShed)
+	step := g.Next(start.Add(2 * time.Millisecond))
+	if len(step.Ask) != 1 || step.Ask[0].Shard != 0 || !step.Ask[0].Shed || step.Ask[0].Lack > 0 {
+		t.Errorf("after a shed of a shard that may be missing: got %v, want one retry that isn't needed", step.Ask)
+	}
+	g.Postpone(0)
+	if step := g.Next(start.Add(20 * time.Millisecond)); len(step.Ask) != 2 || !step.Ask[0].First || !step.Ask[1].First {
+		t.Errorf("after the other one took its request: got %v, want both held shards", step.Ask)
+	}
+	g.Sent(2, start.Add(20*time.Millisecond))
+	g.Sent(3, start.Add(20*time.Millisecond))
+	g.Failed(1, carobbend.FailureShed)
+	step = g.Next(start.Add(30 * time.Millisecond))
+	if len(step.Ask) != 1 || step.Ask[0].Shard != 1 || step.Ask[0].Lack != 1 {
+		t.Errorf("after a shed of a shard that is needed: got %v, want a retry that completes the answer", step.Ask)
+	}
+	g.Denied(1, start.Add(30*time.Millisecond))
+	step = g.Next(start.Add(30 * time.Millisecond))
+	if len(step.Ask) != 1 || step.Ask[0].Shard != 0 || step.Ask[0].First || step.Ask[0].Lack != 1 {
+		t.Errorf("after that was denied: got %v, want the postponed retry of shard 0", step.Ask)
+	}
+}
--- a/hedger/allowance.go
+++ b/hedger/allowance.go
@@ -93,7 +93,11 @@
 }
 
 // Spend takes one extra request to a service from its allowance, or returns false.
-func (a *Allowance) Spend(now time.Time, service string) bool {
+func (a *Allowance) Spend(now time.Time, service string) bool { return a.SpendWithin(now, service, 1) }
+
+// SpendWithin is Spend for a request that leaves the rest of the allowance to more important ones: it is denied once the given
+// part of the allowance, from 0 to 1, is used.
+func (a *Allowance) SpendWithin(now time.Time, service string, part float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	u := a.usage(now, service)
@@ -105,7 +109,7 @@
 			requests += u.requests[i]
 		}
 	}
-	if float64(extra+1) > a.ratio*float64(requests)+a.slackNow(now) {
+	if float64(extra+1) > min(part, 1)*(a.ratio*float64(requests)+a.slackNow(now)) {
 		return false
 	}
 	u.extra[u.current%(cells+1)]++
