Let instances in reserve follow the list of instances through serving ones

Change: package relayer. Serving instances, which follow the store anyway, answer those in reserve over the links of package linker with the list and wait for its next change. The store is asked at the start, for a list that may be old and costs a tenth, and where no instance of the list is reached. A list never goes back: a request names the revision that the answer must include. Instances that have lost the store say so, and the reserve then doesn't ask it as a whole. New setting listen.peers; without it an instance follows the store as before.

Ruled out: polling with stale reads alone (address answers of instances in reserve would name stopped instances for seconds); watches of one instance a data centre with takeover (needs agreement on who it is).

TestListNeverGoesBack fails where requests name no revision.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -18,9 +18,11 @@
 	"carobbend.example/carobbend/forwarder"
 	"carobbend.example/carobbend/hedger"
 	"carobbend.example/carobbend/limiter"
+	"carobbend.example/carobbend/linker"
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/meter"
 	"carobbend.example/carobbend/platform"
+	"carobbend.example/carobbend/relayer"
 	"carobbend.example/carobbend/router"
 	"carobbend.example/carobbend/settings"
 	"carobbend.example/carobbend/steerer"
@@ -63,8 +65,11 @@
 	store     *platform.Store
 	follower  *follower.Follower
 	enroller  *enroller.Enroller
-	meter     *meter.Forward
-	draining  chan struct{}
+	// links connect with other instances, which relay passes the list of instances on to; nil where peers aren't set.
+	links    *linker.Linker
+	relay    *relayer.Relay
+	meter    *meter.Forward
+	draining chan struct{}
 	// suspension notices that the machine was suspended while no request came.
 	suspension timekeeper.Watch
 	// active says that this instance isn't in reserve.
@@ -90,7 +95,7 @@
 	}
 	x.self = carobbend.Instance{
 		Name: cfg.Instance, Incarnation: ulid.Make().String(), DataCentre: cfg.DataCentre,
-		CallerAddress: cfg.Listen.Callers, Ready: true, Capacity: cfg.Cores,
+		CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers, Ready: true, Capacity: cfg.Cores,
 	}
 	headers := platform.Headers()
 	x.balancer = balancer.New(balancer.WithOverdue(), balancer.WithForgetting(forgetTime), balancer.WithAllCandidates(),
@@ -112,14 +117,21 @@
 		x.active.Store(true)
 		x.activeSince = time.Now()
 	}
-	x.follow(platform.NewFeed(x.store))
+	x.relay = relayer.NewRelay(x.self)
+	if cfg.Listen.Peers == "" {
+		x.follow(platform.NewFeed(x.store))
+		return x
+	}
+	x.links = linker.New(x.self)
+	x.links.AddHandlers(x.relay)
+	x.follow(relayer.NewFeed(platform.NewFeed(x.store), x.self, x.links))
 	return x
 }
 
 // follow sets where the state comes from.
 func (x *forwardInstance) follow(feed carobbend.Feed) {
 	x.follower = follower.New(feed, follower.Handlers{
-		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances,
+		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances, Store: x.relay.Reached,
 	})
 	x.enroller.OnFailure(x.follower.Check)
 	if !x.active.Load() {
@@ -206,6 +218,7 @@
 	} else if own, ok := instances[x.self.Name]; (!ok || own.Incarnation != x.self.Incarnation) && !x.isDraining() {
 		x.enroller.Missing()
 	}
+	x.relay.Update(instances)
 	before := x.steerer.Live()
 	x.steerer.Update(instances)
 	n := x.steerer.Live()
--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -80,6 +80,17 @@
 		a := acceptor.New(l, srv)
 		g.Add(a.Serve, func(error) { a.Close(closeTime) })
 	}
+	if x.links != nil {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", x.cfg.Listen.Peers)
+		if err != nil {
+			return err
+		}
+		g.Add(func() error { return x.links.Serve(l) }, func(error) {
+			if err := l.Close(); err != nil {
+				x.log.Error(err, "listener of peers not closed")
+			}
+		})
+	}
 	g.Add(func() error { return x.follower.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.enroller.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.watchLoad(ctx) }, func(error) { cancel() })
--- a/feed.go
+++ b/feed.go
@@ -15,6 +15,13 @@
 	Changes(ctx context.Context, scope FeedScope, after uint64, wait time.Duration) ([]FeedChange, uint64, error)
 }
 
+// ListFeed is a Feed that can also be read at a lower price.
+type ListFeed interface {
+	Feed
+	// Glance is List, but for a state that may be seconds old.
+	Glance(ctx context.Context, scope FeedScope) (Listing, error)
+}
+
 // FeedScope is the part of a Feed that an instance follows.
 type FeedScope int
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -57,6 +57,9 @@
 	Routing   func(*carobbend.Routing) bool
 	Upstreams func(map[string]carobbend.UpstreamRecord)
 	Instances func(map[string]carobbend.Instance)
+	// Store is told the revision up to which everything was followed, before what changed until then, and when the feed was
+	// lost. It may be nil.
+	Store func(revision uint64, away bool)
 }
 
 // Follower follows one feed.
@@ -201,8 +204,8 @@
 		return false, err
 	}
 	now := time.Now()
-	f.reached(now)
 	f.revision = max(f.revision, next)
+	f.reached(now)
 	f.apply(now, changes)
 	return len(changes) > 0, nil
 }
@@ -231,8 +234,8 @@
 		return err
 	}
 	now := time.Now()
-	f.reached(now)
 	f.synced, f.revision = true, l.Revision
+	f.reached(now)
 	if f.scope == carobbend.ScopeAll {
 		f.upstreams.Replace(now, l.Upstreams)
 	}
@@ -292,6 +295,7 @@
 // reached records that the store answered.
 func (f *Follower) reached(now time.Time) {
 	f.failures = 0
+	f.tell(false)
 	if !f.away {
 		return
 	}
@@ -315,6 +319,7 @@
 		f.instances.Lost(now)
 		f.log.Error(err, "store lost", "revision", f.revision)
 	}
+	f.tell(true)
 	longest := lastBackOff
 	if f.scope == carobbend.ScopeInstances {
 		longest = reserveBackOff
@@ -322,6 +327,13 @@
 	return sleeper.BackOff(f.failures, firstBackOff, longest)
 }
 
+// tell reports how far the feed was followed.
+func (f *Follower) tell(away bool) {
+	if f.handlers.Store != nil && f.scope == carobbend.ScopeAll {
+		f.handlers.Store(f.revision, away)
+	}
+}
+
 func sinceMs(now, at time.Time) int64 {
 	if at.IsZero() {
 		return 0
--- a/gatherer/shedding_test.go
+++ b/gatherer/shedding_test.go
@@ -50,7 +50,7 @@
 	}
 	for i := range shards {
 		l.services = append(l.services, string(rune('a'+i)))
-		var ids []carobbend.UpstreamID
+		ids := make([]carobbend.UpstreamID, 0, 2)
 		for j := range 2 {
 			id := carobbend.UpstreamID([]byte{'a' + byte(i), '0' + byte(j)})
 			l.upstreams[id] = &simulated{id: id}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -124,6 +124,15 @@
 // since the handlers need the linker.
 func (k *Linker) AddHandlers(hs ...carobbend.PeerHandler) { k.handlers = append(k.handlers, hs...) }
 
+// Learn records a list of instances that was read elsewhere, so that they can be asked. Links that weren't used lately are
+// closed.
+func (k *Linker) Learn(list []carobbend.Instance) {
+	k.mu.Lock()
+	k.view.listRead(k.now(), list, rand.Float64())
+	k.mu.Unlock()
+	k.closeIdle()
+}
+
 // Self implements carobbend.Members.
 func (k *Linker) Self() carobbend.Instance {
 	k.mu.Lock()
@@ -247,9 +256,9 @@
 func (k *Linker) notice() *encoder.Notice {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	n := &encoder.Notice{Self: encodeInstance(k.view.self)}
+	n := &encoder.Notice{Self: EncodeInstance(k.view.self)}
 	for _, in := range k.view.recent(k.now(), passedOn) {
-		n.Others = append(n.Others, encodeInstance(in))
+		n.Others = append(n.Others, EncodeInstance(in))
 	}
 	return n
 }
@@ -263,25 +272,29 @@
 	defer k.mu.Unlock()
 	now := k.now()
 	if n.GetSelf() != nil {
-		k.view.noticeReceived(now, decodeInstance(n.GetSelf()), true)
+		k.view.noticeReceived(now, DecodeInstance(n.GetSelf()), true)
 	}
 	for _, in := range n.GetOthers() {
-		k.view.noticeReceived(now, decodeInstance(in), false)
+		k.view.noticeReceived(now, DecodeInstance(in), false)
 	}
 }
 
-func encodeInstance(in carobbend.Instance) *encoder.Instance {
+// EncodeInstance returns an instance as a message for peers.
+func EncodeInstance(in carobbend.Instance) *encoder.Instance {
 	return &encoder.Instance{
 		Name: in.Name, Incarnation: in.Incarnation, DataCentre: string(in.DataCentre),
 		CallerAddress: in.CallerAddress, PeerAddress: in.PeerAddress, Leaving: in.Leaving,
 		Load: in.Load, RulesVersion: in.RulesVersion, Ready: in.Ready, Sequence: in.Sequence,
+		Capacity: in.Capacity, Busy: in.Busy,
 	}
 }
 
-func decodeInstance(in *encoder.Instance) carobbend.Instance {
+// DecodeInstance returns the instance of a message.
+func DecodeInstance(in *encoder.Instance) carobbend.Instance {
 	return carobbend.Instance{
 		Name: in.GetName(), Incarnation: in.GetIncarnation(), DataCentre: carobbend.DataCentre(in.GetDataCentre()),
 		CallerAddress: in.GetCallerAddress(), PeerAddress: in.GetPeerAddress(), Leaving: in.GetLeaving(),
 		Load: in.GetLoad(), RulesVersion: in.GetRulesVersion(), Ready: in.GetReady(), Sequence: in.GetSequence(),
+		Capacity: in.GetCapacity(), Busy: in.GetBusy(),
 	}
 }
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -34,6 +34,8 @@
 	Readiness string `yaml:"readiness" validate:"required,ip_port"`
 	// Addresses is where callers ask which instances to use.
 	Addresses string `yaml:"addresses" validate:"required,ip_port"`
+	// Peers is where other instances ask for what this one knows; empty means that it neither asks nor is asked.
+	Peers string `yaml:"peers" validate:"omitempty,ip_port"`
 	// Metrics serves metrics as text; empty means none.
 	Metrics string `yaml:"metrics" validate:"omitempty,ip_port"`
 }
