Grant retries after sheds to the queries that lack the fewest shards

Change: retries wait until the first requests are taken or shed, 5 ms at most; a query is granted retries while it lacks few enough shards, by a limit that follows the room in the allowance (hedger.Grants), and keeps its place. TestHold expected the retry at once; it now checks that it waits.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -134,6 +134,7 @@
 	inFlight  atomic.Int64
 	latencies latencies
 	gates     gates
+	grants    hedger.Grants
 	watch     timekeeper.Watch
 }
 
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -211,7 +211,7 @@
 	// soundAcceptance is the share of requests that an upstream takes which doesn't count as shedding at random.
 	soundAcceptance = 0.8
 	// spareAllowance is the part of the allowance of extra requests that retries after a shed may use where the answer doesn't
-	// need them, or needs more than one. The rest is left to queries that one retry completes.
+	// need them.
 	spareAllowance = 0.5
 )
 
@@ -313,7 +313,7 @@
 		q.gather.Denied(shard, now)
 		return
 	}
-	if kind != AttemptPrimary && !f.Allowance.SpendWithin(now, service, q.part(ask)) {
+	if kind != AttemptPrimary && !q.spend(now, ask) {
 		if ask.Shed && ask.Lack <= 0 {
 			q.gather.Postpone(shard)
 		} else {
@@ -326,7 +326,6 @@
 		q.hedges++
 	case AttemptRetry:
 		q.retries++
-		q.granted = q.granted || ask.Lack > 0
 	case AttemptPrimary:
 	}
 	sent := f.Balancer.Begin(now, id, q.usual)
@@ -341,17 +340,24 @@
 	}()
 }
 
-// part returns the part of the allowance that an extra request may use. A query that was granted a retry keeps its place, so
-// that what was spent on it isn't lost.
-func (q *query) part(ask gatherer.Ask) float64 {
+// spend takes an extra request from the allowance of the shard's service. While upstreams shed at random, not all queries can be
+// completed: retries go to those that lack the fewest shards, and a query that was granted one keeps its place, so that what
+// was spent on it isn't lost.
+func (q *query) spend(now time.Time, ask gatherer.Ask) bool {
+	f, service := q.f, q.services[ask.Shard]
 	switch {
 	case !ask.Shed || !q.fansOut():
-		return 1
-	case ask.Lack == 1 || (ask.Lack > 1 && q.granted):
-		return 1
-	default:
-		return spareAllowance
+		return f.Allowance.Spend(now, service)
+	case ask.Lack <= 0:
+		_, ok := f.Allowance.SpendWithin(now, service, spareAllowance)
+		return ok
+	case !q.granted && !f.grants.Allow(ask.Lack):
+		return false
 	}
+	used, ok := f.Allowance.SpendWithin(now, service, 1)
+	f.grants.Spent(used, ok)
+	q.granted = q.granted || ok
+	return ok
 }
 
 // judge tells the balancer how an attempt ended. It runs on the attempt's goroutine and may outlive the query.
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -184,7 +184,8 @@
 // IsHeld reports whether the first attempt of a shard is delayed.
 func (g *Gather) IsHeld(i int) bool { return g.shards[i].held }
 
-// release asks the held shards once the least coverage is likely, or returns the time of the next look.
+// release asks the held shards once the least coverage is likely. Until the requests that were sent are taken or shed, it
+// returns the time of the next look: only then is it known how many retries the answer needs.
 func (g *Gather) release(now time.Time) time.Time {
 	held, taken := 0, g.covered
 	var next time.Time
@@ -201,7 +202,10 @@
 			next = at
 		}
 	}
-	if held == 0 || taken+held < g.need {
+	if held == 0 {
+		return time.Time{}
+	}
+	if taken+held < g.need {
 		return next
 	}
 	for i := range g.shards {
@@ -213,6 +217,26 @@
 	return time.Time{}
 }
 
+// due returns the attempts to start now. Those after a shed wait while it is open how many the answer needs.
+func (g *Gather) due(open bool) []Ask {
+	if !open {
+		g.rank()
+		due := g.ask
+		g.ask = nil
+		return due
+	}
+	var due, later []Ask
+	for _, a := range g.ask {
+		if a.Shed {
+			later = append(later, a)
+		} else {
+			due = append(due, a)
+		}
+	}
+	g.ask = later
+	return due
+}
+
 // askSkipped asks skipped shards while too few others are left.
 func (g *Gather) askSkipped() {
 	for i := range g.shards {
@@ -347,9 +371,7 @@
 		return Step{Action: Fail, Reason: ReasonShards}
 	}
 	look := g.release(now)
-	g.rank()
-	step := Step{Action: Wait, Ask: g.ask, Until: g.plan.Deadline}
-	g.ask = nil
+	step := Step{Action: Wait, Ask: g.due(!look.IsZero()), Until: g.plan.Deadline}
 	if !look.IsZero() && look.Before(step.Until) {
 		step.Until = look
 	}
--- a/hedger/allowance.go
+++ b/hedger/allowance.go
@@ -93,11 +93,14 @@
 }
 
 // Spend takes one extra request to a service from its allowance, or returns false.
-func (a *Allowance) Spend(now time.Time, service string) bool { return a.SpendWithin(now, service, 1) }
+func (a *Allowance) Spend(now time.Time, service string) bool {
+	_, ok := a.SpendWithin(now, service, 1)
+	return ok
+}
 
 // SpendWithin is Spend for a request that leaves the rest of the allowance to more important ones: it is denied once the given
-// part of the allowance, from 0 to 1, is used.
-func (a *Allowance) SpendWithin(now time.Time, service string, part float64) bool {
+// part of the allowance, from 0 to 1, is used. It returns the part that is used with this request.
+func (a *Allowance) SpendWithin(now time.Time, service string, part float64) (used float64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	u := a.usage(now, service)
@@ -109,11 +112,12 @@
 			requests += u.requests[i]
 		}
 	}
-	if float64(extra+1) > min(part, 1)*(a.ratio*float64(requests)+a.slackNow(now)) {
-		return false
+	allowed := a.ratio*float64(requests) + a.slackNow(now)
+	if float64(extra+1) > min(part, 1)*allowed {
+		return 1, false
 	}
 	u.extra[u.current%(cells+1)]++
-	return true
+	return float64(extra+1) / allowed, true
 }
 
 // length returns the window, which has to divide into cells.
