--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -148,73 +147,6 @@
 	}
 }
 
-// admit leaves out shards that are full or expected to reply after the answer, and refuses the query where too few
-// remain: asking the full ones would only add to the queues that make every query late.
-func (q *query) admit(now time.Time, p gatherer.Plan) *refusal {
-	if p.AnswerBy.IsZero() {
-		return nil
-	}
-	expected := make([]time.Duration, p.Shards)
-	usual := min(q.usual, time.Duration(mostUsual*float64(q.route.Target)))
-	for i, service := range q.services {
-		expected[i] = q.f.Balancer.Outlook(now, q.f.fleet.Candidates(service), usual, q.f.latencies.mean())
-	}
-	skip, ok := q.f.gates.of(q.route).Admit(now, expected, p.AnswerBy.Sub(now), q.gather.Need())
-	if !ok && q.mayReturn(now) {
-		after := returnMin + rand.N(returnSpread)
-		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "too few shards can reply in time", after}
-	}
-	for _, i := range skip {
-		q.gather.Skip(i)
-		q.skips++
-	}
-	q.hold(now)
-	return nil
-}
-
-// hold delays the requests to sound shards where so many others shed at random that the query may well fail for them: the work
-// of the sound ones would be lost.
-func (q *query) hold(now time.Time) {
-	sure := 0.0
-	var sound []int
-	for i, service := range q.services {
-		if q.gather.IsSkipped(i) {
-			continue
-		}
-		a := q.f.Balancer.Acceptance(now, q.f.fleet.Candidates(service))
-		sure += a
-		if a >= soundAcceptance {
-			sound = append(sound, i)
-		}
-	}
-	if sure >= float64(q.gather.Need()) {
-		return
-	}
-	for _, i := range sound {
-		q.gather.Hold(i)
-	}
-}
-
-// mayReturn reports whether the caller has the time to come back with a fair chance.
-func (q *query) mayReturn(now time.Time) bool {
-	return q.deadline.Sub(now) > returnMin+returnSpread
-}
-
-const (
-	// mostUsual bounds the usual latency, in latency targets, by which late replies are foreseen. A usual latency that
-	// was learned in bad times must not make every shard late.
-	mostUsual = 0.3
-	// returnMin and returnSpread bound the time after which refused callers come back, spread so that they don't meet
-	// again.
-	returnMin    = 100 * time.Millisecond
-	returnSpread = 300 * time.Millisecond
-	// soundAcceptance is the share of requests that an upstream takes which doesn't count as shedding at random.
-	soundAcceptance = 0.8
-	// spareAllowance is the part of the allowance of extra requests that retries after a shed may use where the answer doesn't
-	// need them.
-	spareAllowance = 0.5
-)
-
 // maxSpare is the room for results of a shard beyond its attempts; package gatherer allows fewer that end as not run.
 const maxSpare = 5
 
@@ -340,26 +272,6 @@
 	}()
 }
 
-// spend takes an extra request from the allowance of the shard's service. While upstreams shed at random, not all queries can be
-// completed: retries go to those that lack the fewest shards, and a query that was granted one keeps its place, so that what
-// was spent on it isn't lost.
-func (q *query) spend(now time.Time, ask gatherer.Ask) bool {
-	f, service := q.f, q.services[ask.Shard]
-	switch {
-	case !ask.Shed || !q.fansOut():
-		return f.Allowance.Spend(now, service)
-	case ask.Lack <= 0:
-		_, ok := f.Allowance.SpendWithin(now, service, spareAllowance)
-		return ok
-	case !q.granted && !f.grants.Allow(ask.Lack):
-		return false
-	}
-	used, ok := f.Allowance.SpendWithin(now, service, 1)
-	f.grants.Spent(used, ok)
-	q.granted = q.granted || ok
-	return ok
-}
-
 // judge tells the balancer how an attempt ended. It runs on the attempt's goroutine and may outlive the query.
 func (q *query) judge(
 	began time.Time, sent balancer.Request, shard int, a *exchanger.Attempt, attempt AttemptKind,
--- a/hedger/budget.go
+++ b/hedger/budget.go
@@ -98,13 +98,3 @@
 	}
 	return k
 }
-
-// SetBurst changes the number of hedges and retries that may be saved up for each index; at least 1.
-func (b *Budget) SetBurst(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.burst = int64(max(n, 1)) * unit
-	for _, k := range b.buckets {
-		k.tokens = min(k.tokens, b.burst)
-	}
-}
