--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -122,7 +122,7 @@
 		x.follow(platform.NewFeed(x.store))
 		return x
 	}
-	x.links = linker.New(x.self)
+	x.links = linker.New(x.self, linker.WithoutNotices())
 	x.links.AddHandlers(x.relay)
 	x.follow(relayer.NewFeed(platform.NewFeed(x.store), x.self, x.links))
 	return x
--- a/linker/link.go
+++ b/linker/link.go
@@ -214,6 +214,9 @@
 func (k *Linker) handle(ctx context.Context, req *encoder.Frame) *encoder.Frame {
 	switch body := req.GetBody().(type) {
 	case *encoder.Frame_Notice:
+		if k.unnoticed {
+			return &encoder.Frame{}
+		}
 		k.learn(body.Notice)
 		return &encoder.Frame{Body: &encoder.Frame_Notice{Notice: k.notice()}}
 	case *encoder.Frame_Ping:
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -82,10 +82,12 @@
 	self     string
 	list     List
 	handlers []carobbend.PeerHandler
-	observe  func(*carobbend.Instance)
-	onChange func(live []carobbend.Instance)
-	now      func() time.Time
-	log      logger.Logger
+	// unnoticed says that notices of peers are refused.
+	unnoticed bool
+	observe   func(*carobbend.Instance)
+	onChange  func(live []carobbend.Instance)
+	now       func() time.Time
+	log       logger.Logger
 
 	mu    sync.Mutex
 	view  *membership
@@ -107,6 +109,10 @@
 	return func(k *Linker) { k.onChange = f }
 }
 
+// WithoutNotices refuses notices, for instances that take the list from the store alone: whoever reaches the port could
+// otherwise name another address for an instance.
+func WithoutNotices() Option { return func(k *Linker) { k.unnoticed = true } }
+
 // New returns a linker for the instance self, whose incarnation must be set.
 func New(self carobbend.Instance, opts ...Option) *Linker {
 	k := &Linker{
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -120,3 +120,22 @@
 		t.Errorf("sender: got %q, want %q", got, want)
 	}
 }
+
+// Guards against a stranger who names another address for an instance whose list comes from the store alone.
+func TestNoticesRefused(t *testing.T) {
+	a, _ := start(t, "a", WithoutNotices())
+	a.Learn([]carobbend.Instance{instance("b", "1", 1)})
+	b, _ := start(t, "b", WithList(func(context.Context) ([]carobbend.Instance, error) {
+		return []carobbend.Instance{a.Self()}, nil
+	}))
+	b.readList(t.Context())
+	forged := instance("b", "2", 9)
+	forged.PeerAddress = "127.0.0.1:9"
+	_, err := b.Ask(t.Context(), "a", &encoder.Frame{Body: &encoder.Frame_Notice{Notice: &encoder.Notice{Self: EncodeInstance(forged)}}})
+	if err == nil {
+		t.Error("notice: got a reply, want a refusal")
+	}
+	if got, _ := find(a.Live(), "b"); got.PeerAddress == forged.PeerAddress {
+		t.Errorf("a's view of b: got %+v, want it unchanged", got)
+	}
+}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/encoder"
+	"carobbend.example/carobbend/linker"
 	"carobbend.example/carobbend/relayer"
 )
 
@@ -243,3 +245,38 @@
 		t.Errorf("error: got %v, want one that unwraps", err)
 	}
 }
+
+// TestOverLinks guards against a list that gets lost on the way over real links.
+func TestOverLinks(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := carobbend.Instance{
+		Name: "a", Incarnation: "1", DataCentre: "leon", CallerAddress: "127.0.0.1:2", PeerAddress: l.Addr().String(),
+		Ready: true, Capacity: 0.8, Busy: true,
+	}
+	relay := relayer.NewRelay(a)
+	relay.Reached(7, false)
+	relay.Update(map[string]carobbend.Instance{"a": a})
+	links := linker.New(a, linker.WithoutNotices())
+	links.AddHandlers(relay)
+	served := make(chan error, 1)
+	go func() { served <- links.Serve(l) }()
+	self := carobbend.Instance{Name: "self", Incarnation: "2"}
+	s := &store{instances: map[string]carobbend.Instance{"a": {Name: "a", Incarnation: "1", PeerAddress: a.PeerAddress}}, revision: 5}
+	f := relayer.NewFeed(s, self, linker.New(self))
+	if _, err := f.List(t.Context(), carobbend.ScopeInstances); err != nil {
+		t.Fatal(err)
+	}
+	got, kind := follow(t, f, nil, 1)
+	if got["a"] != a || kind != "" {
+		t.Errorf("got %+v, error %q, want %+v", got["a"], kind, a)
+	}
+	if err := l.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-served; err != nil {
+		t.Errorf("serve: got %v, want nil", err)
+	}
+}
