--- a/cmd/carobbend/processorload.go
+++ b/cmd/carobbend/processorload.go
@@ -24,6 +24,7 @@
 // list of instances may have lapsed.
 func (x *forwardInstance) woken(lost time.Duration) {
 	x.log.Info("woken", "suspended-ms", lost.Milliseconds())
+	x.relay.Doubt()
 	x.follower.Check()
 	if x.active.Load() && !x.isDraining() {
 		x.enroller.Missing()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -94,6 +94,17 @@
 	}
 }
 
+// Doubt lets the relay answer that it is away until the store is reached again, since the list may be old: the machine was
+// suspended, say.
+func (r *Relay) Doubt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.following {
+		r.following = false
+		r.notify()
+	}
+}
+
 // Update replaces the list, as of the revision that was reached. A list that didn't come from the store is ignored.
 func (r *Relay) Update(instances map[string]carobbend.Instance) {
 	r.mu.Lock()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -227,6 +227,25 @@
 	})
 }
 
+// TestDoubt guards against an instance that was suspended and passes on a list from before.
+func TestDoubt(t *testing.T) {
+	r := serving("a", 7, listOf("a", "gone"))
+	ask := func() *encoder.InstancesReply {
+		return r.HandlePeer(t.Context(), "x", &encoder.Frame{Body: &encoder.Frame_InstancesRequest{
+			InstancesRequest: &encoder.InstancesRequest{},
+		}}).GetInstancesReply()
+	}
+	r.Doubt()
+	if got := ask(); !got.GetAway() || len(got.GetInstances()) > 0 {
+		t.Errorf("after a suspension: got %v, want away", got)
+	}
+	r.Reached(8, false)
+	r.Update(listOf("a"))
+	if got := ask(); got.GetAway() || len(got.GetInstances()) != 1 {
+		t.Errorf("after the store answered: got %v, want the new list", got)
+	}
+}
+
 // TestOtherScope guards against a serving instance that learns from another one.
 func TestOtherScope(t *testing.T) {
 	s := &store{instances: listOf("a"), revision: 5}
