Decide about grants in package hedger alone

The test of random sheds repeated the rule that the forwarder applied; both now call hedger.Grants.Spend.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -18,9 +18,6 @@
 	returnSpread = 300 * time.Millisecond
 	// soundAcceptance is the share of requests that an upstream takes which doesn't count as shedding at random.
 	soundAcceptance = 0.8
-	// spareAllowance is the part of the allowance of extra requests that retries after a shed may use where the answer doesn't
-	// need them.
-	spareAllowance = 0.5
 )
 
 // admit leaves out shards that are full or expected to reply after the answer, and refuses the query where too few
@@ -76,21 +73,11 @@
 }
 
 // spend takes an extra request from the allowance of the shard's service. While upstreams shed at random, not all queries can be
-// completed: retries go to those that lack the fewest shards, and a query that was granted one keeps its place, so that what
-// was spent on it isn't lost.
+// completed, and retries go to those that lack the fewest shards.
 func (q *query) spend(now time.Time, ask gatherer.Ask) bool {
 	f, service := q.f, q.services[ask.Shard]
-	switch {
-	case !ask.Shed || !q.fansOut():
+	if !ask.Shed || !q.fansOut() {
 		return f.Allowance.Spend(now, service)
-	case ask.Lack <= 0:
-		_, ok := f.Allowance.SpendWithin(now, service, spareAllowance)
-		return ok
-	case !q.granted && !f.grants.Allow(ask.Lack):
-		return false
 	}
-	used, ok := f.Allowance.SpendWithin(now, service, 1)
-	f.grants.Spent(used, ok)
-	q.granted = q.granted || ok
-	return ok
+	return f.grants.Spend(now, f.Allowance, &q.grant, service, ask.Lack)
 }
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -13,6 +13,7 @@
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/exchanger"
 	"carobbend.example/carobbend/gatherer"
+	"carobbend.example/carobbend/hedger"
 	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/router"
 	"carobbend.example/carobbend/timekeeper"
@@ -51,8 +52,8 @@
 	gather  *gatherer.Gather
 	results chan result
 	open    map[*exchanger.Attempt]struct{}
-	// granted says that a retry was made which the answer needs.
-	granted bool
+	// grant is the right to retries after sheds.
+	grant hedger.Grant
 	// asked holds the upstreams of each shard that were asked.
 	asked [][]carobbend.UpstreamID
 	parts []*exchanger.Reply
--- a/gatherer/shedding_test.go
+++ b/gatherer/shedding_test.go
@@ -116,8 +116,8 @@
 	l     *sheddingLoad
 	g     *gatherer.Gather
 	began time.Time
-	// granted says that a retry was made which the answer needs.
-	granted, done bool
+	grant hedger.Grant
+	done  bool
 }
 
 func (q *sheddingQuery) send(now time.Time, shard int) {
@@ -146,17 +146,10 @@
 
 func (q *sheddingQuery) spend(now time.Time, a gatherer.Ask) bool {
 	l, service := q.l, q.l.services[a.Shard]
-	if a.Shed && a.Lack <= 0 {
-		_, ok := l.allowance.SpendWithin(now, service, 0.5)
-		return ok
+	if !a.Shed {
+		return l.allowance.Spend(now, service)
 	}
-	if a.Shed && !q.granted && !l.grants.Allow(a.Lack) {
-		return false
-	}
-	used, ok := l.allowance.SpendWithin(now, service, 1)
-	l.grants.Spent(used, ok)
-	q.granted = q.granted || ok
-	return ok
+	return l.grants.Spend(now, l.allowance, &q.grant, service, a.Lack)
 }
 
 func (q *sheddingQuery) next(now time.Time) {
