--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -56,8 +56,8 @@
 	maxHedged = 0.34
 	// coverageSlack absorbs the rounding of a share that is a whole number of shards.
 	coverageSlack = 1e-9
-	// acceptTime is the time after which an attempt that wasn't shed counts as taken. Upstreams shed at once: in trials a
-	// refusal took 2 to 4 ms.
+	// acceptTime is the time after which an attempt that wasn't shed counts as taken. Upstreams shed at once, so a refusal takes
+	// a round trip between data centres and the timers of both ends.
 	acceptTime = 5 * time.Millisecond
 )
 
@@ -276,8 +276,7 @@
 	g.lose(s)
 }
 
-// Postpone records that an attempt which the answer doesn't need wasn't started. It is made after all where another shard is
-// lost.
+// Postpone records that a retry which the answer doesn't need wasn't started. It is made after all where another shard is lost.
 func (g *Gather) Postpone(i int) { g.Skip(i) }
 
 // Replied records a reply that covers the shard and returns false where it isn't the first one.
