--- a/exchanger/reply.go
+++ b/exchanger/reply.go
@@ -66,7 +66,7 @@
 
 // Utilization returns running and waiting requests per slot.
 func (l Load) Utilization() float64 {
-	return float64(l.Running+l.Waiting) / float64(max(l.Slots, 1))
+	return (float64(l.Running) + float64(l.Waiting)) / float64(max(l.Slots, 1))
 }
 
 // message is a reply whose body may not have been read yet.
