--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,20 @@
 
 soak:
 	.ci/soak
+
+# FLEETBENCH is the platform's bench, which isn't part of the repository, and SITES the directory of its site files.
+FLEETBENCH ?= fleetbench
+SITES ?= sites
+# JOBS is half of the processors at most, so that no day is given up.
+JOBS ?= 3
+REGRESSION_SITES ?= large/banquetas-bajio-large further-grown/elfen-search-grown further/elfen-search \
+	grown/banquetas-bajio-grown grown/voksbjerg-soeg-grown
+# WHY is the line for the journal.
+WHY ?= regression run
+
+.PHONY: regression
+
+regression:
+	for s in $(REGRESSION_SITES); do \
+		$(FLEETBENCH) score $(SITES)/$$s.toml --jobs $(JOBS) --why "$(WHY)" || exit 1; \
+	done
