Eject latency outliers only in favour of upstreams that serve their requests

Ruled out: the score (it prefers the healthy replica unless it has 3 requests in flight) and the retry budget, which is spent as a consequence.

Change: only candidates that serve at least 0.8 of their requests are compared with. The threshold is the one by which package forwarder defers healthy shards; both now use balancer.HealthyRate.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,6 +36,9 @@
 // such an upstream above any latency target.
 const minSuccessRate = 0.02
 
+// HealthyRate is the acceptance or success rate from which an upstream doesn't count as shedding or failing at random.
+const HealthyRate = 0.8
+
 // shedLatency is the time that a shed request costs: a round trip between data centres and the timers of both ends.
 const shedLatency = 4 * time.Millisecond
 
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -17,7 +17,7 @@
 	// and also outlierMedianFactor times their median latency.
 	outlierBaselineFactor = 4
 	outlierMedianFactor   = 2
-	// minSamples is the number of observations from which an upstream can be ejected as a latency outlier.
+	// minSamples is the number of observations from which an upstream can be ejected as a latency outlier, or be compared with.
 	minSamples = 3
 	// ejectionBase and ejectionMax bound the back-off, which doubles with each ejection.
 	ejectionBase = time.Second
@@ -76,15 +76,16 @@
 }
 
 // findOutliers ejects nodes whose latency is far above the others'. It compares with the others' baselines, since their
-// latencies rise too when they take over the requests of a slow upstream.
+// latencies rise too when they take over the requests of a slow upstream. Nodes that fail or shed many requests can't take
+// them over, so they are not compared with.
 func (b *Balancer) findOutliers(now time.Time, nodes []*node) {
 	for _, n := range nodes {
-		if n.samples < minSamples || now.Before(n.ejectedUntil) || !mayBeOutlier(n, nodes) {
+		if n.samples < minSamples || now.Before(n.ejectedUntil) || !mayBeOutlier(now, n, nodes) {
 			continue
 		}
 		others := make([]*node, 0, len(nodes))
 		for _, o := range nodes {
-			if o != n && o.samples >= minSamples {
+			if o != n && o.isComparable(now) {
 				others = append(others, o)
 			}
 		}
@@ -97,15 +98,20 @@
 }
 
 // mayBeOutlier is a cheap check before the medians are computed: it reports whether any other node is much faster than n.
-func mayBeOutlier(n *node, nodes []*node) bool {
+func mayBeOutlier(now time.Time, n *node, nodes []*node) bool {
 	for _, o := range nodes {
-		if o != n && o.samples >= minSamples && n.latency > outlierBaselineFactor*o.baseline {
+		if o != n && n.latency > outlierBaselineFactor*o.baseline && o.isComparable(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// isComparable reports whether the node has been observed enough and serves enough requests to replace a slow one.
+func (n *node) isComparable(now time.Time) bool {
+	return n.samples >= minSamples && n.successRate(now) >= HealthyRate
+}
+
 // medianLatency returns the lower median of the smoothed latencies in nanoseconds, or 0 without observations.
 func medianLatency(nodes []*node) float64 {
 	return median(nodes, func(n *node) float64 { return n.latency })
--- a/balancer/latency_test.go
+++ b/balancer/latency_test.go
@@ -121,6 +121,36 @@
 	}
 }
 
+// TestNoEjectionWithoutReplacement guards against ejecting the last upstream that serves its requests as a latency outlier:
+// upstreams that shed or fail most requests are faster, but can't take its requests over.
+func TestNoEjectionWithoutReplacement(t *testing.T) {
+	for _, kind := range []carobbend.FailureKind{carobbend.FailureShed, carobbend.FailureBroken} {
+		b := New(WithInFlightLatency())
+		now := epoch
+		for range 50 {
+			for _, id := range ids("a", "b", "c") {
+				b.End(now.Add(15*time.Millisecond), b.Begin(now, id, 0), carobbend.FailureNone, 0.5)
+			}
+			now = now.Add(20 * time.Millisecond)
+		}
+		for i := range 20 {
+			for _, id := range ids("b", "c") {
+				outcome := kind
+				if i%5 >= 3 {
+					outcome = carobbend.FailureNone
+				}
+				b.End(now.Add(15*time.Millisecond), b.Begin(now, id, 0), outcome, 0.5)
+			}
+			b.End(now.Add(150*time.Millisecond), b.Begin(now, "a", 0), carobbend.FailureNone, 1)
+			now = now.Add(20 * time.Millisecond)
+		}
+		b.Pick(now, ids("a", "b", "c"), nil)
+		if now.Before(b.nodes["a"].ejectedUntil) {
+			t.Errorf("%s: got the slow upstream ejected, want it in use", kind)
+		}
+	}
+}
+
 // TestDistance guards against traffic between data centres without a lower latency, and against using a near upstream that is
 // slow.
 func TestDistance(t *testing.T) {
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -134,6 +134,13 @@
 	s.rate, s.updatedAt = v, now
 }
 
+// share estimates the share of requests that raised the rate. It corrects the bias that the different values of
+// rateRiseWeight and rateFallWeight cause.
+func (s *decayingRate) share(now time.Time) float64 {
+	r := s.current(now)
+	return r * rateFallWeight / (rateRiseWeight - r*(rateRiseWeight-rateFallWeight))
+}
+
 // recordOutcome updates the failure rates with a request's result.
 func (n *node) recordOutcome(now time.Time, kind carobbend.FailureKind, load float64) {
 	switch {
@@ -147,11 +154,12 @@
 	}
 }
 
-// acceptanceRate is the share of requests that the upstream doesn't shed while it has capacity. It corrects the bias that the
-// different values of rateRiseWeight and rateFallWeight cause in unloadedShedRate.
-func (n *node) acceptanceRate(now time.Time) float64 {
-	r := n.unloadedShedRate.current(now)
-	return 1 - r*rateFallWeight/(rateRiseWeight-r*(rateRiseWeight-rateFallWeight))
+// acceptanceRate is the share of requests that the upstream doesn't shed while it has capacity.
+func (n *node) acceptanceRate(now time.Time) float64 { return 1 - n.unloadedShedRate.share(now) }
+
+// successRate is the share of requests that the upstream neither sheds nor fails.
+func (n *node) successRate(now time.Time) float64 {
+	return n.acceptanceRate(now) * (1 - n.failureRate.share(now))
 }
 
 // expectedLatency is the larger of the decayed estimate and of what the requests in flight show.
--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/gatherer"
 )
 
@@ -16,8 +17,6 @@
 	// same time.
 	retryAfterMin    = 100 * time.Millisecond
 	retryAfterSpread = 300 * time.Millisecond
-	// healthyAcceptanceRate is the acceptance rate from which an upstream doesn't count as shedding at random.
-	healthyAcceptanceRate = 0.8
 )
 
 // admit leaves out shards that are full or expected to reply too late for the answer, and refuses the query if too few
@@ -55,7 +54,7 @@
 		}
 		a := q.f.Balancer.AcceptanceRate(now, q.f.upstreams.Candidates(service))
 		expectedAccepted += a
-		if a >= healthyAcceptanceRate {
+		if a >= balancer.HealthyRate {
 			healthy = append(healthy, i)
 		}
 	}
