Derive Retry-After of refused queries from the caller's time left and the expected queues

Cause: a query with less than 0.4 s left was never refused, although it was known that it would be late: a class with a deadline of 300 ms queued through every overload. Retry-After was drawn from 100 to 400 ms whatever the queues and the time left; callers wait a third of their time left at most.

Change: Retry-After is a sixth to a third of the caller's time left, or the time by which the answer is expected to be late if that is longer, at most 2 s. A query is refused unless its deadline leaves less than the latency target after that.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,10 +12,6 @@
 	// maxMeanPart bounds the mean latency that enters the expected latencies, as a part of the latency target. A mean latency
 	// observed during an overload must not make every shard count as late.
 	maxMeanPart = 0.3
-	// retryAfterMin and retryAfterSpread bound the Retry-After of refused callers, with jitter so that they don't return at the
-	// same time.
-	retryAfterMin    = 100 * time.Millisecond
-	retryAfterSpread = 300 * time.Millisecond
 )
 
 // admit leaves out shards that are full or expected to reply too late for the answer, and refuses the query if too few
@@ -30,10 +25,12 @@
 	for i, service := range q.services {
 		expected[i] = q.f.Balancer.ExpectedLatency(now, q.f.upstreams.Candidates(service), mean, q.f.latencies.shardMean())
 	}
-	skip, ok := q.f.admission.forRoute(q.route).Admit(now, expected, p.AnswerBy.Sub(now), q.gather.Need())
-	if !ok && q.hasTimeToRetry(now) {
-		after := retryAfterMin + rand.N(retryAfterSpread)
-		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "too few shards can reply in time", after}
+	need, left := q.gather.Need(), p.AnswerBy.Sub(now)
+	skip, ok := q.f.admission.forRoute(q.route).Admit(now, expected, left, need)
+	if !ok {
+		if after, ok := gatherer.RetryAfter(expected, need, left, q.deadline.Sub(now), q.route.Target); ok {
+			return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "too few shards can reply in time", after}
+		}
 	}
 	for _, i := range skip {
 		q.gather.Skip(i)
@@ -66,11 +63,6 @@
 	}
 }
 
-// hasTimeToRetry reports whether the caller's deadline leaves time for a retry after the longest Retry-After.
-func (q *query) hasTimeToRetry(now time.Time) bool {
-	return q.deadline.Sub(now) > retryAfterMin+retryAfterSpread
-}
-
 // tryWithdraw takes an extra request from the retry budget of the shard's service, or returns false. Retries after sheds go
 // through the retry selector, since not all queries can be completed while upstreams shed at random.
 func (q *query) tryWithdraw(now time.Time, ask gatherer.AttemptSpec) bool {
--- a/gatherer/admission.go
+++ b/gatherer/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,16 @@
 // Without probes, latencies observed during an overload would persist, since no request would be sent that corrects them.
 const probeInterval = 50 * time.Millisecond
 
+const (
+	// retryAfterPart is the part of the caller's time left that Retry-After takes at most, unless the queues need longer. Callers
+	// wait no longer than that, and the rest is enough for another attempt.
+	retryAfterPart = 1.0 / 3
+	// retryAfterSpread is the part of Retry-After that is drawn at random, so that refused callers don't return at the same time.
+	retryAfterSpread = 0.5
+	// maxRetryAfter bounds Retry-After if no upstream is expected to reply at all.
+	maxRetryAfter = 2 * time.Second
+)
+
 // AdmissionControl decides whether a query of a route is started, and which shards it leaves out. The zero value is ready to
 // use; it is safe for concurrent use.
 type AdmissionControl struct {
@@ -37,3 +48,16 @@
 	slices.SortFunc(skip, func(a, b int) int { return cmp.Compare(expected[b], expected[a]) })
 	return skip[:min(len(skip), spare)], true
 }
+
+// RetryAfter returns the time after which the caller of a refused query may come back. It is at least the time by which an
+// answer of need shards is expected to miss the time left until answerBy. It returns false if the caller's deadline leaves no
+// time for an answer within the latency target afterwards: a late answer is then better than a refusal.
+func RetryAfter(expected []time.Duration, need int, untilAnswer, untilDeadline, target time.Duration) (time.Duration, bool) {
+	longest := time.Duration(retryAfterPart * float64(untilDeadline))
+	if untilDeadline-longest < target {
+		return 0, false
+	}
+	lateness := slices.Sorted(slices.Values(expected))[need-1] - untilAnswer
+	after := longest - rand.N(time.Duration(retryAfterSpread*float64(longest))+1)
+	return min(max(after, lateness), maxRetryAfter), true
+}
