Keep a key that is dispatched again until it is the oldest one

Cause: the set of dispatched keys left the ring's slot of a removed key in place. A key that was dispatched, found not to have run and dispatched again stood in two slots, and was dropped when the first one was reused, up to 16,384 dispatches early. A repeated request could then be told that it didn't run although it did.

Change: a removed key frees its slot, and the map holds the slot of each key, so that a slot deletes only its own key.

--- a/dispatcher/sent.go
+++ b/dispatcher/sent.go
@@ -8,29 +8,36 @@
 
 // dispatchedKeys is a bounded set of the most recently dispatched keys and their owners. The zero value is an empty set.
 type dispatchedKeys struct {
-	mu     sync.Mutex
-	owners map[string]string
-	ring   []string
-	next   int
+	mu sync.Mutex
+	// slots holds the slot of each key in the ring.
+	slots map[string]int
+	ring  []dispatchedKey
+	next  int
+}
+
+// dispatchedKey is a key with the owner that dispatched it. The zero value is the slot of a removed key.
+type dispatchedKey struct {
+	key, owner string
 }
 
 // add records a dispatch. It returns false if the key was dispatched before and not removed since.
 func (s *dispatchedKeys) add(key, owner string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.owners[key]; ok {
+	if _, ok := s.slots[key]; ok {
 		return false
 	}
-	if s.owners == nil {
-		s.owners = make(map[string]string)
+	if s.slots == nil {
+		s.slots = make(map[string]int)
 	}
-	s.owners[key] = owner
 	if len(s.ring) < maxDispatchedKeys {
-		s.ring = append(s.ring, key)
-		return true
+		s.ring = append(s.ring, dispatchedKey{})
+	}
+	if oldest := s.ring[s.next]; oldest != (dispatchedKey{}) {
+		delete(s.slots, oldest.key)
 	}
-	delete(s.owners, s.ring[s.next])
-	s.ring[s.next] = key
+	s.ring[s.next] = dispatchedKey{key, owner}
+	s.slots[key] = s.next
 	s.next = (s.next + 1) % maxDispatchedKeys
 	return true
 }
@@ -39,7 +46,7 @@
 func (s *dispatchedKeys) has(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.owners[key]
+	_, ok := s.slots[key]
 	return ok
 }
 
@@ -47,7 +54,8 @@
 func (s *dispatchedKeys) remove(key, owner string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.owners[key] == owner {
-		delete(s.owners, key)
+	if i, ok := s.slots[key]; ok && s.ring[i].owner == owner {
+		s.ring[i] = dispatchedKey{}
+		delete(s.slots, key)
 	}
 }
