Move the decisions about a query's attempts from forwarder to package scatterer

Cause: admission, deferral, the choice of an upstream and the retry budget could be driven only through the goroutines of package forwarder.

Change: package scatterer decides without I/O; forwarder keeps the exchange with callers and upstreams. An attempt whose upstream left the set after it was chosen ends as not sent, where it was denied before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -33,6 +33,7 @@
 	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/router"
+	"carobbend.example/carobbend/scatterer"
 	"carobbend.example/carobbend/timekeeper"
 )
 
@@ -61,7 +62,7 @@
 	// Answered records the end of a request.
 	Answered(route string, outcome Outcome, latency time.Duration)
 	// Attempted records an attempt at an upstream and how it ended.
-	Attempted(kind AttemptKind, failure carobbend.FailureKind)
+	Attempted(kind scatterer.AttemptKind, failure carobbend.FailureKind)
 }
 
 // Outcome is how a request ended.
@@ -86,18 +87,6 @@
 	OutcomeCallerLeft Outcome = "caller-gone"
 )
 
-// AttemptKind says why an attempt was made.
-type AttemptKind string
-
-const (
-	// AttemptPrimary is the first attempt of a shard.
-	AttemptPrimary AttemptKind = "primary"
-	// AttemptHedge is made while another one is open.
-	AttemptHedge AttemptKind = "hedge"
-	// AttemptRetry is made after a failure.
-	AttemptRetry AttemptKind = "retry"
-)
-
 // Config holds what a Forwarder depends on.
 type Config struct {
 	Headers   Headers
@@ -134,9 +123,7 @@
 	refusing           atomic.Bool
 	stopped            chan struct{}
 	inFlight           atomic.Int64
-	latencies          latencies
-	admission          admissionControls
-	retrySelector      hedger.RetrySelector
+	scatterer          *scatterer.Scatterer
 	suspensionDetector timekeeper.SuspensionDetector
 }
 
@@ -145,6 +132,9 @@
 	f := &Forwarder{
 		Config: cfg, upstreams: cfg.Upstreams, instances: cfg.Instances, log: newRequestLog(logger.New("forwarder")),
 		stopped: make(chan struct{}),
+		scatterer: scatterer.New(scatterer.Config{
+			Balancer: cfg.Balancer, RetryBudget: cfg.RetryBudget, Hedger: cfg.Hedger, Candidates: cfg.Upstreams.Candidates,
+		}),
 	}
 	if f.instances == nil {
 		f.instances = func() int { return 1 }
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,7 @@
 
 func (l requestLog) request(q *query) {
 	limit := l.problem
-	if q.outcome == OutcomeComplete && q.hedges+q.retries+q.skips == 0 {
+	if q.outcome == OutcomeComplete && q.scatter.Hedges()+q.scatter.Retries()+q.scatter.Skips() == 0 {
 		limit = l.routine
 	}
 	if !limit.Allow() {
@@ -52,9 +53,9 @@
 	if q.route != nil {
 		kv = append(kv, "route", q.route.Name)
 	}
-	if q.gather != nil {
-		kv = append(kv, "covered", q.gather.Covered(), "needed", q.gather.Need(), "shards", len(q.services),
-			"hedges", q.hedges, "retries", q.retries, "skips", q.skips, "left-ms", time.Until(q.deadline).Milliseconds())
+	if s := q.scatter; s != nil {
+		kv = append(kv, "covered", s.Covered(), "needed", s.Need(), "shards", len(q.services),
+			"hedges", s.Hedges(), "retries", s.Retries(), "skips", s.Skips(), "left-ms", time.Until(q.deadline).Milliseconds())
 	}
 	if missing := q.missing(); missing != "" {
 		kv = append(kv, "missing", missing)
@@ -83,7 +84,7 @@
 // missing lists the first shards without a reply as service/upstream, with the upstream that was asked last, or as
 // service/none if none was asked.
 func (q *query) missing() string {
-	if q.gather == nil || !q.isFanOut() {
+	if q.scatter == nil || !q.isFanOut() {
 		return ""
 	}
 	var names []string
@@ -91,11 +92,8 @@
 		if p != nil || len(names) == maxMissing {
 			continue
 		}
-		last := "none"
-		if n := len(q.asked[i]); n > 0 {
-			last = string(q.asked[i][n-1])
-		}
-		names = append(names, q.services[i]+"/"+last)
+		last := cmp.Or(q.scatter.LastAsked(i), "none")
+		names = append(names, q.services[i]+"/"+string(last))
 	}
 	return strings.Join(names, ",")
 }
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -4,32 +4,19 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"carobbend.example/carobbend"
-	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/exchanger"
 	"carobbend.example/carobbend/gatherer"
-	"carobbend.example/carobbend/hedger"
 	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/router"
+	"carobbend.example/carobbend/scatterer"
 	"carobbend.example/carobbend/timekeeper"
 )
 
-const (
-	// hedgeDelayPart is the part of the latency target after which a shard is hedged, unless the delay of the hedger is shorter.
-	// With 0.2 and with 0.6, answers are worth 1 to 4% less on nearly every day.
-	hedgeDelayPart = 0.4
-	// answerMargin is the time before the latency target at which an answer is sent, in addition to the network time of the
-	// caller: timers fire late, and other requests occupy the processor.
-	answerMargin = 4 * time.Millisecond
-	// deadlineMargin is the time before the deadline at which a failure is sent.
-	deadlineMargin = 5 * time.Millisecond
-)
-
 // query is one request of a caller.
 type query struct {
 	f        *Forwarder
@@ -46,38 +33,30 @@
 	reservation *limiter.Reservation
 	// callerNetworkTime is the network time that the caller counts in addition to the time on this instance.
 	callerNetworkTime time.Duration
-	// meanLatency is the mean latency of the route's attempts.
-	meanLatency time.Duration
 
-	gather       *gatherer.Gather
+	scatter      *scatterer.Query
 	results      chan result
 	openAttempts map[*exchanger.Attempt]struct{}
-	// grant records whether the query was granted a retry after a shed.
-	grant hedger.RetryGrant
-	// asked holds, for each shard, the upstreams that were asked and are avoided by its next attempt.
-	asked   [][]carobbend.UpstreamID
-	replies []*exchanger.Reply
+	replies      []*exchanger.Reply
 	// upstreamFailure is the last complete failure reply of an upstream.
 	upstreamFailure *exchanger.Reply
 
 	// truncated says that the answer ended early and must not look complete.
 	truncated bool
 
-	hedges, retries, skips int
-	lastKind               carobbend.FailureKind
-	outcome                Outcome
-	reason                 string
+	lastKind carobbend.FailureKind
+	outcome  Outcome
+	reason   string
 }
 
 // result is the end of an attempt.
 type result struct {
-	shard   int
-	attempt *exchanger.Attempt
-	reply   *exchanger.Reply
-	kind    carobbend.FailureKind
-	// upstream is the one that was asked; hadCapacity says that it shed the request although it reported capacity.
-	upstream    carobbend.UpstreamID
-	hadCapacity bool
+	attempt  scatterer.Attempt
+	exchange *exchanger.Attempt
+	reply    *exchanger.Reply
+	kind     carobbend.FailureKind
+	// load is the load that the upstream reported, or negative.
+	load float64
 }
 
 func (q *query) routeName() string {
@@ -97,46 +76,25 @@
 // isFanOut reports whether the answer is combined from shards.
 func (q *query) isFanOut() bool { return len(q.route.Shards) > 0 }
 
-func (q *query) plan() gatherer.Plan {
-	p := gatherer.Plan{
-		Shards: len(q.services), MinCoverage: 1, Attempts: max(q.route.Attempts, 1), Repeatable: q.route.Repeatable,
-		Deadline: q.deadline.Add(-deadlineMargin),
-	}
-	if t := q.route.Target; t > 0 {
-		p.HedgeDelay = min(time.Duration(hedgeDelayPart*float64(t)), q.f.Hedger.Delay(q.route.Name))
-	}
-	if q.isFanOut() {
-		p.MinCoverage = q.route.MinCoverage
-		p.Repeatable = true
-		if q.route.Target > 0 {
-			p.AnswerBy = q.began.Add(q.route.Target - answerMargin - q.callerNetworkTime)
-		}
-	}
-	return p
-}
-
 // serve sends the request to upstreams until the gather ends, and answers the caller.
 func (q *query) serve(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	q.meanLatency = q.f.latencies.routeMean(q.route)
-	p := q.plan()
-	q.gather = gatherer.New(p)
+	q.scatter = q.f.scatterer.NewQuery(q.route, q.services, scatterer.Timing{
+		Began: q.began, Deadline: q.deadline, CallerNetworkTime: q.callerNetworkTime,
+	})
 	// The buffer holds the results of all attempts, so that none blocks on the channel, even after the query has ended.
-	q.results = make(chan result, p.Shards*(p.Attempts+spareResults))
-	q.openAttempts = make(map[*exchanger.Attempt]struct{}, p.Shards)
-	q.asked = make([][]carobbend.UpstreamID, p.Shards)
-	q.replies = make([]*exchanger.Reply, p.Shards)
+	q.results = make(chan result, q.scatter.MaxAttempts())
+	q.openAttempts = make(map[*exchanger.Attempt]struct{}, len(q.services))
+	q.replies = make([]*exchanger.Reply, len(q.services))
 	defer q.cancelOpen()
 	now := time.Now()
-	if refused := q.admit(now, p); refused != nil {
-		q.respond(w, refused)
+	if after, ok := q.scatter.Admit(now); !ok {
+		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "too few shards can reply in time", after})
 		return
 	}
-	for i := range q.services {
-		if !q.gather.IsSkipped(i) && !q.gather.IsDeferred(i) {
-			q.attempt(ctx, now, gatherer.AttemptSpec{Shard: i, First: true})
-		}
+	for _, spec := range q.scatter.FirstAttempts() {
+		q.attempt(ctx, now, spec)
 	}
 	switch step := q.run(ctx); {
 	case ctx.Err() != nil:
@@ -148,23 +106,19 @@
 	}
 }
 
-// spareResults is the capacity for results of a shard beyond Plan.Attempts; package gatherer allows fewer attempts that end as
-// not run.
-const spareResults = 5
-
 // run executes the steps of the gather until it ends, the instance stops or the caller disconnects.
 func (q *query) run(ctx context.Context) gatherer.Step {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		step := q.gather.Next(now)
+		step := q.scatter.Next(now)
 		if step.Action != gatherer.Wait {
 			return step
 		}
 		if len(step.Launch) > 0 {
 			if q.adjustForSuspension() {
-				if late := q.gather.Next(now); late.Action != gatherer.Wait {
+				if late := q.scatter.Next(now); late.Action != gatherer.Wait {
 					return late
 				}
 			}
@@ -195,7 +149,7 @@
 		return false
 	}
 	q.suspended += lost
-	q.gather.AdjustForSuspension(lost)
+	q.scatter.AdjustForSuspension(lost)
 	q.deadline = q.deadline.Add(-lost)
 	// Attempts in flight use the previous request, so it is copied.
 	request := *q.request
@@ -227,64 +181,36 @@
 	}
 }
 
-// attempt starts an attempt, or reports to the gather that it is denied or postponed.
-func (q *query) attempt(ctx context.Context, now time.Time, ask gatherer.AttemptSpec) {
-	kind := AttemptRetry
-	switch {
-	case ask.Hedge:
-		kind = AttemptHedge
-	case ask.First:
-		kind = AttemptPrimary
-	}
-	f, shard, service := q.f, ask.Shard, q.services[ask.Shard]
-	s, _ := q.table.Service(service)
-	id, ok := f.Balancer.Pick(now, f.upstreams.Candidates(service), q.asked[shard])
-	if !ok || (kind != AttemptPrimary && slices.Contains(q.asked[shard], id)) {
-		q.gather.Denied(shard, now)
-		return
-	}
-	t, ok := f.target(id, s.MaxConns)
+// attempt sends the attempt for a shard, if there is one.
+func (q *query) attempt(ctx context.Context, now time.Time, spec gatherer.AttemptSpec) {
+	a, ok := q.scatter.Attempt(now, spec)
 	if !ok {
-		q.gather.Denied(shard, now)
 		return
 	}
-	if kind != AttemptPrimary && !q.tryWithdraw(now, ask) {
-		if ask.AfterShed && ask.Shortfall <= 0 {
-			q.gather.Postpone(shard)
-		} else {
-			q.gather.Denied(shard, now)
-		}
+	s, _ := q.table.Service(q.services[spec.Shard])
+	t, known := q.f.target(a.Upstream(), s.MaxConns)
+	if !known {
+		// The upstream left the set after it was chosen, which is no failure of it.
+		a.Finished(now, carobbend.FailureCanceled, -1)
+		q.results <- result{attempt: a, kind: carobbend.FailureNotSent, load: -1}
 		return
 	}
-	switch kind {
-	case AttemptHedge:
-		q.hedges++
-	case AttemptRetry:
-		q.retries++
-	case AttemptPrimary:
-	}
-	sent := f.Balancer.Begin(now, id, q.meanLatency)
-	q.gather.Sent(shard, now)
-	q.asked[shard] = append(q.asked[shard], id)
-	a := f.Exchanger.Attempt(ctx)
-	q.openAttempts[a] = struct{}{}
+	exchange := q.f.Exchanger.Attempt(ctx)
+	q.openAttempts[exchange] = struct{}{}
 	request := q.request
 	go func() {
-		reply, err := a.Do(t, request)
-		q.results <- q.finishAttempt(now, sent, shard, a, kind, reply, err)
+		reply, err := exchange.Do(t, request)
+		q.results <- q.finishAttempt(a, exchange, reply, err)
 	}()
 }
 
-// finishAttempt classifies the end of an attempt and reports it to the balancer, the hedger and the recorder. It runs on the
-// attempt's goroutine and may outlive the query.
-func (q *query) finishAttempt(
-	began time.Time, sent balancer.Request, shard int, a *exchanger.Attempt, attempt AttemptKind,
-	reply *exchanger.Reply, err error,
-) result {
+// finishAttempt classifies the end of an attempt and reports it to the scatterer and the recorder. It runs on the attempt's
+// goroutine and may outlive the query.
+func (q *query) finishAttempt(a scatterer.Attempt, exchange *exchanger.Attempt, reply *exchanger.Reply, err error) result {
 	kind := exchanger.FailureKindOf(err)
 	load := -1.0
 	if kind == carobbend.FailureOversized {
-		q.f.log.oversized(q.id, q.services[shard], sent.Upstream(), err)
+		q.f.log.oversized(q.id, q.services[a.Shard()], a.Upstream(), err)
 	}
 	if reply != nil {
 		kind = q.classify(reply)
@@ -292,17 +218,11 @@
 			load = reply.Load.Utilization()
 		}
 	}
-	now := time.Now()
-	q.f.Balancer.End(now, sent, kind, load)
-	if kind == carobbend.FailureNone {
-		q.f.latencies.observe(q.route, now.Sub(began))
-		q.f.Hedger.Observe(q.route.Name, now.Sub(began))
-	}
+	a.Finished(time.Now(), kind, load)
 	if q.f.Recorder != nil {
-		q.f.Recorder.Attempted(attempt, kind)
+		q.f.Recorder.Attempted(a.Kind(), kind)
 	}
-	hadCapacity := kind == carobbend.FailureShed && balancer.HasCapacity(load)
-	return result{shard: shard, attempt: a, reply: reply, kind: kind, upstream: sent.Upstream(), hadCapacity: hadCapacity}
+	return result{attempt: a, exchange: exchange, reply: reply, kind: kind, load: load}
 }
 
 // classify returns the failure kind of a complete reply; FailureNone means that the reply is usable.
@@ -321,28 +241,22 @@
 	}
 }
 
-// recordResult records the end of an attempt in the gather and keeps its reply.
+// recordResult records the end of an attempt and keeps its reply.
 func (q *query) recordResult(res result) {
 	if res.reply == nil || res.reply.Remainder == nil {
 		// An attempt whose reply has a Remainder stays open until that was read.
-		delete(q.openAttempts, res.attempt)
+		delete(q.openAttempts, res.exchange)
+	}
+	if q.scatter.Record(res.attempt, res.kind, res.load) {
+		q.replies[res.attempt.Shard()] = res.reply
 	}
 	if res.kind == carobbend.FailureNone {
-		if q.gather.Replied(res.shard) {
-			q.replies[res.shard] = res.reply
-		}
 		return
 	}
 	q.lastKind = res.kind
 	if res.reply != nil && res.kind == carobbend.FailureBroken {
 		q.upstreamFailure = res.reply
 	}
-	if res.hadCapacity && q.isFanOut() {
-		// An upstream that sheds at random may accept the next attempt. A request that must not run twice isn't sent there
-		// again: a second copy of the refusal would hide that the request ran.
-		q.asked[res.shard] = slices.DeleteFunc(q.asked[res.shard], func(id carobbend.UpstreamID) bool { return id == res.upstream })
-	}
-	q.gather.Failed(res.shard, res.kind)
 }
 
 func (q *query) cancelOpen() {
@@ -444,7 +358,7 @@
 // deadline passed, or that attempts failed.
 func (q *query) fail(ctx context.Context, w http.ResponseWriter, reason gatherer.Reason) {
 	switch {
-	case q.gather.Runs() == 0:
+	case q.scatter.Runs() == 0:
 		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", retryAfter})
 	case !q.isFanOut() && q.upstreamFailure != nil:
 		q.outcome = OutcomeUpstream
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -46,6 +46,9 @@
 	Deadline time.Time
 }
 
+// MaxAttempts returns the greatest number of attempts of a shard, including those that didn't run.
+func (p Plan) MaxAttempts() int { return p.Attempts + maxNotRunAttempts }
+
 const (
 	// maxNotRunAttempts is the number of attempts of a shard, beyond Plan.Attempts, that may end as not run.
 	maxNotRunAttempts = 4
@@ -310,7 +313,7 @@
 	if s.covered || s.lost {
 		return
 	}
-	mayRetry := s.runs < g.plan.Attempts && s.attempts < g.plan.Attempts+maxNotRunAttempts && (g.plan.Repeatable || s.runs == 0)
+	mayRetry := s.runs < g.plan.Attempts && s.attempts < g.plan.MaxAttempts() && (g.plan.Repeatable || s.runs == 0)
 	if s.open > 0 {
 		if s.open == 1 && mayRetry {
 			// Either the hedge failed or the attempt that it was made for: the other one may be as late as before.
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -335,3 +335,37 @@
 		}
 	}
 }
+
+// TestDeferredShards guards against healthy shards that are asked before the shedding ones accepted their requests, and against
+// deferred shards that are never asked.
+func TestDeferredShards(t *testing.T) {
+	g := New(Plan{Shards: 4, MinCoverage: 0.75, Attempts: 2, Repeatable: true, Deadline: start.Add(time.Second)})
+	g.Defer(2)
+	g.Defer(3)
+	g.Sent(0, start)
+	g.Sent(1, start)
+	if step := g.Next(start.Add(time.Millisecond)); len(step.Launch) != 0 || step.Until.Sub(start) > 10*time.Millisecond {
+		t.Errorf("before any is accepted: got %v until %v, want none and a check within 10 ms", step.Launch, step.Until.Sub(start))
+	}
+	g.Failed(0, carobbend.FailureShed)
+	if step := g.Next(start.Add(2 * time.Millisecond)); len(step.Launch) != 0 {
+		t.Errorf("while the other one may be shed: got %v, want none", step.Launch)
+	}
+	step := g.Next(start.Add(20 * time.Millisecond))
+	if len(step.Launch) != 3 || !step.Launch[0].AfterShed || step.Launch[0].Shortfall > 0 || !step.Launch[1].First || !step.Launch[2].First {
+		t.Errorf("after the other one accepted: got %v, want an optional retry and both deferred shards", step.Launch)
+	}
+	g.Postpone(0)
+	g.Sent(2, start.Add(20*time.Millisecond))
+	g.Sent(3, start.Add(20*time.Millisecond))
+	g.Failed(1, carobbend.FailureShed)
+	step = g.Next(start.Add(30 * time.Millisecond))
+	if len(step.Launch) != 1 || step.Launch[0].Shard != 1 || step.Launch[0].Shortfall != 1 {
+		t.Errorf("after a shed of a required shard: got %v, want a retry with a shortfall of 1", step.Launch)
+	}
+	g.Denied(1, start.Add(30*time.Millisecond))
+	step = g.Next(start.Add(30 * time.Millisecond))
+	if len(step.Launch) != 1 || step.Launch[0].Shard != 0 || step.Launch[0].First || step.Launch[0].Shortfall != 1 {
+		t.Errorf("after that was denied: got %v, want the postponed retry of shard 0", step.Launch)
+	}
+}
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -13,6 +13,7 @@
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/forwarder"
+	"carobbend.example/carobbend/scatterer"
 )
 
 // ForwardSources are the functions that are read when metrics are collected.
@@ -79,7 +80,7 @@
 }
 
 type attemptKey struct {
-	kind    forwarder.AttemptKind
+	kind    scatterer.AttemptKind
 	failure carobbend.FailureKind
 }
 
@@ -94,7 +95,7 @@
 }
 
 // Attempted implements forwarder.Recorder.
-func (m *Forward) Attempted(kind forwarder.AttemptKind, failure carobbend.FailureKind) {
+func (m *Forward) Attempted(kind scatterer.AttemptKind, failure carobbend.FailureKind) {
 	o := cached(&m.byKind, attemptKey{kind, failure}, func() *recordOptions {
 		return optionsOf(attribute.String("kind", string(kind)), attribute.String("failure", string(failure)))
 	})
--- a/forwarder/latencies.go
+++ b/scatterer/latencies.go
@@ -1,10 +1,9 @@
-package forwarder
+package scatterer
 
 import (
 	"sync"
 	"time"
 
-	"carobbend.example/carobbend/gatherer"
 	"carobbend.example/carobbend/router"
 )
 
@@ -77,23 +76,3 @@
 	}
 	u.mean += max(meanWeight, 1/float64(u.n)) * (float64(latency) - u.mean)
 }
-
-// admissionControls holds the admission control of each route. The zero value is empty.
-type admissionControls struct {
-	mu     sync.Mutex
-	routes map[string]*gatherer.AdmissionControl
-}
-
-func (g *admissionControls) forRoute(r *router.Route) *gatherer.AdmissionControl {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	control := g.routes[r.Name]
-	if control == nil {
-		if g.routes == nil {
-			g.routes = map[string]*gatherer.AdmissionControl{}
-		}
-		control = &gatherer.AdmissionControl{}
-		g.routes[r.Name] = control
-	}
-	return control
-}
--- /dev/null
+++ b/scatterer/simulation_test.go
@@ -0,0 +1,262 @@
+package scatterer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/balancer"
+	"carobbend.example/carobbend/gatherer"
+	"carobbend.example/carobbend/hedger"
+	"carobbend.example/carobbend/router"
+	"carobbend.example/carobbend/scatterer"
+)
+
+const (
+	shards     = 10
+	slots      = 3
+	queueBound = 18
+	// shedLatency is the time after which a shed reply arrives.
+	shedLatency = 2 * time.Millisecond
+	// shedShare is the share of requests that a shedding upstream refuses although it has capacity.
+	shedShare     = 0.6
+	minCoverage   = 0.89
+	simulatedTime = 10 * time.Second
+)
+
+var epoch = time.Unix(1000, 0)
+
+// pattern is a load pattern: upstreams with their faults, and the queries sent to them.
+type pattern struct {
+	// instances share the queries and the retry budget; each has its own view of the upstreams.
+	instances int
+	// replicas returns the number of upstreams of a shard, and sheds whether one of them sheds at random.
+	replicas func(shard int) int
+	sheds    func(shard, replica int) bool
+	// pause is the time for which each upstream stops once in pauseInterval; 0 means never.
+	pause, pauseInterval time.Duration
+	// rate is the number of queries a second, which arrive at random.
+	rate                float64
+	serviceTime, target time.Duration
+	attempts            int
+	extraRatio          float64
+	extraSlack          float64
+	withoutAdmission    bool
+}
+
+// upstream has slots and a bounded queue.
+type upstream struct {
+	sheds                bool
+	pause, pauseInterval time.Duration
+	firstPause           time.Time
+	free                 [slots]time.Time
+	// running holds the ends of the requests that are in.
+	running []time.Time
+}
+
+// accept returns the end of a request that arrives now, or false if the queue is full.
+func (u *upstream) accept(now time.Time, d time.Duration) (time.Time, bool) {
+	in := u.running[:0]
+	for _, end := range u.running {
+		if end.After(now) {
+			in = append(in, end)
+		}
+	}
+	u.running = in
+	if len(in) >= slots+queueBound {
+		return now, false
+	}
+	first := 0
+	for i := range u.free {
+		if u.free[i].Before(u.free[first]) {
+			first = i
+		}
+	}
+	start := now
+	if u.free[first].After(now) {
+		start = u.free[first]
+	}
+	u.free[first] = u.end(start, d)
+	u.running = append(u.running, u.free[first])
+	return u.free[first], true
+}
+
+// end returns the end of a request that starts at the given time and takes d without pauses.
+func (u *upstream) end(start time.Time, d time.Duration) time.Time {
+	end := start.Add(d)
+	if u.pause == 0 {
+		return end
+	}
+	paused := u.firstPause
+	if n := start.Sub(paused) / u.pauseInterval; n > 0 {
+		paused = paused.Add(n * u.pauseInterval)
+	}
+	for ; paused.Before(end); paused = paused.Add(u.pauseInterval) {
+		if resumed := paused.Add(u.pause); resumed.After(start) {
+			end = end.Add(min(u.pause, resumed.Sub(start)))
+		}
+	}
+	return end
+}
+
+func (u *upstream) load() float64 { return float64(len(u.running)) / slots }
+
+type event struct {
+	at time.Time
+	do func(now time.Time)
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	old := *e
+	ev := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return ev
+}
+
+// simulation plays a pattern on a virtual clock.
+type simulation struct {
+	pattern    pattern
+	rng        *rand.Rand
+	route      *router.Route
+	instances  []*instance
+	upstreams  map[carobbend.UpstreamID]*upstream
+	candidates map[string][]carobbend.UpstreamID
+	events     events
+
+	queries, inTime, refused, requests, extra, shed int
+}
+
+type instance struct {
+	budget    *hedger.WindowBudget
+	scatterer *scatterer.Scatterer
+}
+
+func newSimulation(p pattern, seed uint64) *simulation {
+	s := &simulation{
+		pattern: p, rng: rand.New(rand.NewPCG(seed, 2)),
+		route: &router.Route{Route: carobbend.Route{
+			Name: "search", Attempts: p.attempts, Target: p.target, MinCoverage: minCoverage,
+		}},
+		upstreams: map[carobbend.UpstreamID]*upstream{}, candidates: map[string][]carobbend.UpstreamID{},
+	}
+	for i := range shards {
+		service := fmt.Sprintf("shard-%d", i)
+		s.route.Shards = append(s.route.Shards, service)
+		for j := range p.replicas(i) {
+			id := carobbend.UpstreamID(fmt.Sprintf("%s-%d", service, j))
+			u := &upstream{sheds: p.sheds(i, j), pause: p.pause, pauseInterval: p.pauseInterval}
+			if p.pauseInterval > 0 {
+				u.firstPause = epoch.Add(time.Duration(s.rng.Int64N(int64(p.pauseInterval))))
+			}
+			s.upstreams[id] = u
+			s.candidates[service] = append(s.candidates[service], id)
+		}
+	}
+	for i := range p.instances {
+		budget := hedger.NewWindowBudget(10 * time.Second)
+		budget.Set(epoch.Add(-time.Minute), p.extraRatio, p.extraSlack/float64(p.instances))
+		s.instances = append(s.instances, &instance{budget, scatterer.New(scatterer.Config{
+			Balancer: balancer.New(balancer.WithInFlightLatency(), balancer.WithAllCandidates(), balancer.WithLatencyDecay(time.Second),
+				balancer.WithSeed(seed+uint64(i))),
+			RetryBudget: budget, Hedger: hedger.New(),
+			Candidates: func(service string) []carobbend.UpstreamID { return s.candidates[service] },
+		})})
+	}
+	return s
+}
+
+// run returns the share of queries that are answered within the latency target.
+func (s *simulation) run() float64 {
+	for at := epoch; at.Before(epoch.Add(simulatedTime)); at = at.Add(time.Duration(s.rng.ExpFloat64() / s.pattern.rate * float64(time.Second))) {
+		heap.Push(&s.events, event{at, s.query})
+	}
+	for s.events.Len() > 0 {
+		ev := heap.Pop(&s.events).(event)
+		ev.do(ev.at)
+	}
+	return float64(s.inTime) / float64(s.queries)
+}
+
+func (s *simulation) query(now time.Time) {
+	x := s.instances[s.rng.IntN(len(s.instances))]
+	s.queries++
+	x.budget.Requested(now, s.route.Shards...)
+	q := &query{s: s, began: now, Query: x.scatterer.NewQuery(s.route, s.route.Shards, scatterer.Timing{
+		Began: now, Deadline: now.Add(6 * s.pattern.target),
+	})}
+	if !s.pattern.withoutAdmission {
+		if _, ok := q.Admit(now); !ok {
+			s.refused++
+			return
+		}
+	}
+	q.send(now, q.FirstAttempts())
+	q.next(now)
+}
+
+// query is one query in flight.
+type query struct {
+	*scatterer.Query
+	s     *simulation
+	began time.Time
+	done  bool
+}
+
+func (q *query) send(now time.Time, specs []gatherer.AttemptSpec) {
+	for _, spec := range specs {
+		if a, ok := q.Attempt(now, spec); ok {
+			q.sendAttempt(now, a)
+		}
+	}
+}
+
+func (q *query) sendAttempt(now time.Time, a scatterer.Attempt) {
+	s := q.s
+	s.requests++
+	if a.Kind() != scatterer.AttemptPrimary {
+		s.extra++
+	}
+	u, kind, end := s.upstreams[a.Upstream()], carobbend.FailureShed, now.Add(shedLatency)
+	if !u.sheds || s.rng.Float64() >= shedShare {
+		d := time.Duration(float64(s.pattern.serviceTime) * (0.7 + 0.6*s.rng.Float64()))
+		if at, ok := u.accept(now, d); ok {
+			kind, end = carobbend.FailureNone, at
+		}
+	}
+	if kind == carobbend.FailureShed {
+		s.shed++
+	}
+	heap.Push(&s.events, event{end, func(at time.Time) {
+		load := u.load()
+		a.Finished(at, kind, load)
+		q.Record(a, kind, load)
+		q.next(at)
+	}})
+}
+
+func (q *query) next(now time.Time) {
+	for !q.done {
+		step := q.Next(now)
+		switch {
+		case step.Action != gatherer.Wait:
+			q.done = true
+			if step.Action == gatherer.Answer && now.Sub(q.began) <= q.s.pattern.target {
+				q.s.inTime++
+			}
+		case len(step.Launch) == 0:
+			heap.Push(&q.s.events, event{step.Until, q.next})
+			return
+		default:
+			q.send(now, step.Launch)
+		}
+	}
+}
