Don't eject upstreams in the forwarding instances

An upstream that pauses for 150 ms, or whose queue grows while others fail, passes four times the others' baseline and is taken out of use for a second or more, although it serves again within that time; the others are then overloaded. What ejection is for, a slow, dark or failing upstream, is seen sooner by the requests in flight, the penalty and the failure rates.

Change: scatterer.NewBalancer builds the balancer of the forwarding instances without ejection.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -24,6 +24,7 @@
 	"carobbend.example/carobbend/platform"
 	"carobbend.example/carobbend/relayer"
 	"carobbend.example/carobbend/router"
+	"carobbend.example/carobbend/scatterer"
 	"carobbend.example/carobbend/settings"
 	"carobbend.example/carobbend/steerer"
 	"carobbend.example/carobbend/timekeeper"
@@ -37,8 +38,6 @@
 	// otherDataCentreFactor multiplies the score of upstreams in other data centres, since traffic between data
 	// centres costs money.
 	otherDataCentreFactor = 2.5
-	// latencyDecayTime is the time constant with which the raised latency estimate of an unused upstream decays to its baseline.
-	latencyDecayTime = time.Second
 	// memoryLimitFraction is the fraction of the memory that is set as the runtime's soft memory limit, near which it
 	// collects garbage more often.
 	memoryLimitFraction = 0.6
@@ -102,8 +101,9 @@
 		CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers, Ready: true, Capacity: cfg.Cores,
 	}
 	headers := platform.Headers()
-	x.balancer = balancer.New(balancer.WithInFlightLatency(), balancer.WithLatencyDecay(latencyDecayTime), balancer.WithAllCandidates(),
-		balancer.WithDistance(x.distance), balancer.WithSlots(x.slotShare), balancer.WithSeed(uint64(time.Now().UnixNano())))
+	x.balancer = scatterer.NewBalancer(
+		balancer.WithDistance(x.distance), balancer.WithSlots(x.slotShare), balancer.WithSeed(uint64(time.Now().UnixNano())),
+	)
 	x.retryBudget = hedger.NewWindowBudget(cfg.ExtraLoad.Window)
 	// The slack is divided among the instances, whose number is known only once the instance list is read.
 	x.retryBudget.Set(time.Now(), extraRatioFactor*cfg.ExtraLoad.Ratio, 0)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -17,10 +17,10 @@
 	"go.uber.org/goleak"
 
 	"carobbend.example/carobbend"
-	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/exchanger"
 	"carobbend.example/carobbend/hedger"
 	"carobbend.example/carobbend/router"
+	"carobbend.example/carobbend/scatterer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -49,7 +49,7 @@
 	upstreams := &UpstreamSet{}
 	f := New(Config{
 		Headers: names, Router: r, Upstreams: upstreams, Exchanger: x, RetryBudget: retryBudget, Hedger: hedger.New(),
-		Balancer: balancer.New(balancer.WithInFlightLatency(), balancer.WithAllCandidates()),
+		Balancer: scatterer.NewBalancer(),
 	})
 	s := httptest.NewUnstartedServer(f)
 	s.Config.ConnContext = ConnContext
--- a/scatterer/patterns_test.go
+++ b/scatterer/patterns_test.go
@@ -48,6 +48,20 @@
 	play(t, p, 0.9)
 }
 
+// TestPausesUnderLoad guards against replicas that are ejected after a pause, so that the others are overloaded: both replicas of
+// each shard pause in turn for a twenty-fourth of the time, and the queries need 0.63 of their capacity. Only as many queries
+// may be late as arrive during the pauses of one replica.
+func TestPausesUnderLoad(t *testing.T) {
+	p := pattern{
+		instances: 6, rate: 300, serviceTime: 12500 * time.Microsecond, target: 120 * time.Millisecond, attempts: 3,
+		extraRatio: 0.19, extraSlack: 44,
+		replicas: func(int) int { return 2 },
+		sheds:    func(int, int) bool { return false },
+		pause:    150 * time.Millisecond, pauseInterval: 3600 * time.Millisecond,
+	}
+	play(t, p, 1-p.pause.Seconds()/p.pauseInterval.Seconds())
+}
+
 // TestOverloadOfSingleReplicaShards guards against an overload of a tenth that makes nearly all queries late: four of ten shards
 // have a single replica left, and without admission control their queues grow until every query is late.
 func TestOverloadOfSingleReplicaShards(t *testing.T) {
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	s := scatterer.New(scatterer.Config{Balancer: b, RetryBudget: budget, Hedger: h, Candidates: set.Candidates})
+//	s := scatterer.New(scatterer.Config{Balancer: scatterer.NewBalancer(), RetryBudget: budget, Hedger: h, Candidates: set.Candidates})
 //	q := s.NewQuery(route, services, scatterer.Timing{Began: now, Deadline: deadline})
 //	if after, ok := q.Admit(now); !ok {
 //		return refuse(after)
@@ -29,6 +29,18 @@
 	"carobbend.example/carobbend/router"
 )
 
+// latencyDecayTime is the time constant with which the raised latency estimate of an unused upstream decays to its baseline.
+const latencyDecayTime = time.Second
+
+// NewBalancer returns a balancer for shards with few replicas. It has no ejection: a replica that pauses or queues for a moment
+// serves more requests than its ejection would leave to the others, and requests in flight show a slow or dark one at once.
+func NewBalancer(opts ...balancer.Option) *balancer.Balancer {
+	return balancer.New(append([]balancer.Option{
+		balancer.WithInFlightLatency(), balancer.WithLatencyDecay(latencyDecayTime), balancer.WithAllCandidates(),
+		balancer.WithoutEjection(),
+	}, opts...)...)
+}
+
 // Config holds what a Scatterer depends on.
 type Config struct {
 	Balancer *balancer.Balancer
--- a/scatterer/simulation_test.go
+++ b/scatterer/simulation_test.go
@@ -165,8 +165,7 @@
 		budget := hedger.NewWindowBudget(10 * time.Second)
 		budget.Set(epoch.Add(-time.Minute), p.extraRatio, p.extraSlack/float64(p.instances))
 		s.instances = append(s.instances, &instance{budget, scatterer.New(scatterer.Config{
-			Balancer: balancer.New(balancer.WithInFlightLatency(), balancer.WithAllCandidates(), balancer.WithLatencyDecay(time.Second),
-				balancer.WithSeed(seed+uint64(i))),
+			Balancer:    scatterer.NewBalancer(balancer.WithSeed(seed + uint64(i))),
 			RetryBudget: budget, Hedger: hedger.New(),
 			Candidates: func(service string) []carobbend.UpstreamID { return s.candidates[service] },
 		})})
