Drop slow start in the forwarding instances

An upstream in slow start is preferred with a probability that rises from 0.1 to 1 in two seconds. With few replicas the requests that it would take go to the others, whatever their state; its own latency says as much after a few replies.

--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -33,11 +33,12 @@
 const latencyDecayTime = time.Second
 
 // NewBalancer returns a balancer for shards with few replicas. It has no ejection: a replica that pauses or queues for a moment
-// serves more requests than its ejection would leave to the others, and requests in flight show a slow or dark one at once.
+// serves more requests than its ejection would leave to the others, and requests in flight show a slow or dark one at once. It
+// has no slow start either, since the latency of a cold replica's first replies has the same effect.
 func NewBalancer(opts ...balancer.Option) *balancer.Balancer {
 	return balancer.New(append([]balancer.Option{
 		balancer.WithInFlightLatency(), balancer.WithLatencyDecay(latencyDecayTime), balancer.WithAllCandidates(),
-		balancer.WithoutEjection(),
+		balancer.WithoutEjection(), balancer.WithoutSlowStart(),
 	}, opts...)...)
 }
 
