--- a/scatterer/simulation_test.go
+++ b/scatterer/simulation_test.go
@@ -90,8 +90,9 @@
 		return end
 	}
 	paused := u.firstPause
-	if n := start.Sub(paused) / u.pauseInterval; n > 0 {
-		paused = paused.Add(n * u.pauseInterval)
+	if start.After(paused) {
+		// The last pause that began before the request did.
+		paused = start.Add(-(start.Sub(paused) % u.pauseInterval))
 	}
 	for ; paused.Before(end); paused = paused.Add(u.pauseInterval) {
 		if resumed := paused.Add(u.pause); resumed.After(start) {
