--- a/gatherer/admission.go
+++ b/gatherer/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,7 +15,7 @@
 	// retryAfterPart is the part of the caller's time left that Retry-After takes at most, unless the queues need longer. Callers
 	// wait no longer than that, and the rest is enough for another attempt.
 	retryAfterPart = 1.0 / 3
-	// retryAfterSpread is the part of Retry-After that is drawn at random, so that refused callers don't return at the same time.
+	// retryAfterSpread is the part of Retry-After over which refused callers are spread, so that they don't return together.
 	retryAfterSpread = 0.5
 	// maxRetryAfter bounds Retry-After if no upstream is expected to reply at all.
 	maxRetryAfter = 2 * time.Second
@@ -49,15 +48,20 @@
 	return skip[:min(len(skip), spare)], true
 }
 
-// RetryAfter returns the time after which the caller of a refused query may come back. It is at least the time by which an
-// answer of need shards is expected to miss the time left until answerBy. It returns false if the caller's deadline leaves no
-// time for an answer within the latency target afterwards: a late answer is then better than a refusal.
-func RetryAfter(expected []time.Duration, need int, untilAnswer, untilDeadline, target time.Duration) (time.Duration, bool) {
-	longest := time.Duration(retryAfterPart * float64(untilDeadline))
-	if untilDeadline-longest < target {
+// Lateness returns the time by which an answer of need shards is expected to miss the time left; it is negative if the answer is
+// expected sooner.
+func Lateness(expected []time.Duration, left time.Duration, need int) time.Duration {
+	return slices.Sorted(slices.Values(expected))[need-1] - left
+}
+
+// RetryAfter returns the time after which the caller of a refused query may come back: a part of its time left that jitter, from
+// 0 to 1, spreads, or the lateness that was expected if that is longer. It returns false if the caller's deadline leaves no time
+// for an answer within the latency target afterwards: a late answer is then better than a refusal.
+func RetryAfter(lateness, untilDeadline, target time.Duration, jitter float64) (time.Duration, bool) {
+	longest := retryAfterPart * float64(untilDeadline)
+	if float64(untilDeadline)-longest < float64(target) {
 		return 0, false
 	}
-	lateness := slices.Sorted(slices.Values(expected))[need-1] - untilAnswer
-	after := longest - rand.N(time.Duration(retryAfterSpread*float64(longest))+1)
+	after := time.Duration(longest * (1 - retryAfterSpread*jitter))
 	return min(max(after, lateness), maxRetryAfter), true
 }
--- a/gatherer/admission_test.go
+++ b/gatherer/admission_test.go
@@ -48,28 +48,33 @@
 }
 
 // TestRetryAfter guards against refused callers that come back too late for an answer within their deadline, that are never
-// refused because their deadline is short, or that come back before the queues are shorter.
+// refused because their deadline is short, that come back together, or that come back before the queues are shorter.
 func TestRetryAfter(t *testing.T) {
 	const target = 60 * msec
 	for _, tt := range []struct {
-		name          string
-		expected      []time.Duration
-		untilDeadline time.Duration
-		low, high     time.Duration
-		ok            bool
+		name                    string
+		lateness, untilDeadline time.Duration
+		low, high               time.Duration
+		ok                      bool
 	}{
-		{"short deadline", []time.Duration{10 * msec, 70 * msec}, 300 * msec, 50 * msec, 100 * msec, true},
-		{"long deadline", []time.Duration{10 * msec, 70 * msec}, 6000 * msec, 1000 * msec, 2000 * msec, true},
-		{"long queue", []time.Duration{10 * msec, 300 * msec}, 300 * msec, 250 * msec, 250 * msec, true},
-		{"no upstream", []time.Duration{10 * msec, time.Hour}, 300 * msec, maxRetryAfter, maxRetryAfter, true},
-		{"no time for another attempt", []time.Duration{10 * msec, 70 * msec}, 80 * msec, 0, 0, false},
+		{"short deadline", 20 * msec, 300 * msec, 50 * msec, 100 * msec, true},
+		{"long deadline", 20 * msec, 3000 * msec, 500 * msec, 1000 * msec, true},
+		{"long queue", 250 * msec, 300 * msec, 250 * msec, 250 * msec, true},
+		{"no upstream", time.Hour, 300 * msec, maxRetryAfter, maxRetryAfter, true},
+		{"no time for another attempt", 20 * msec, 80 * msec, 0, 0, false},
 	} {
-		for range 100 {
-			got, ok := RetryAfter(tt.expected, 2, 50*msec, tt.untilDeadline, target)
-			if ok != tt.ok || got < tt.low || got > tt.high {
-				t.Errorf("%s: got %v, %v, want %v to %v, %v", tt.name, got, ok, tt.low, tt.high, tt.ok)
-				break
+		for jitter, want := range map[float64]time.Duration{0: tt.high, 1: tt.low} {
+			if got, ok := RetryAfter(tt.lateness, tt.untilDeadline, target, jitter); got != want || ok != tt.ok {
+				t.Errorf("%s, jitter %v: got %v, %v, want %v, %v", tt.name, jitter, got, ok, want, tt.ok)
 			}
 		}
 	}
 }
+
+// TestLateness guards against a lateness that counts shards which the answer can do without.
+func TestLateness(t *testing.T) {
+	expected := []time.Duration{300 * msec, 10 * msec, 70 * msec}
+	if got, want := Lateness(expected, 50*msec, 2), 20*msec; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/scatterer/admission.go
+++ b/scatterer/admission.go
@@ -1,6 +1,7 @@
 package scatterer
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,7 +25,8 @@
 	need, left := q.gather.Need(), q.plan.AnswerBy.Sub(now)
 	skip, ok := q.s.admission.forRoute(q.route).Admit(now, expected, left, need)
 	if !ok {
-		if after, ok := gatherer.RetryAfter(expected, need, left, q.deadline.Sub(now), q.route.Target); ok {
+		lateness := gatherer.Lateness(expected, left, need)
+		if after, ok := gatherer.RetryAfter(lateness, q.deadline.Sub(now), q.route.Target, rand.Float64()); ok {
 			return after, false
 		}
 	}
