Bound the wait for reliable upstreams by their latency, and revert the hedge after a failed hedge

Change: a reliable upstream comes first only while it reports fewer than two requests a slot and its expected latency, which the smoothed latency shows under overload, is within 1.5 times the typical one.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -157,7 +157,7 @@
 	}
 	if b.useInFlight {
 		// A reply from a reliable upstream is worth a short wait: a shed or failed request costs a retry.
-		eligible = prefer(eligible, func(n *node) bool { return n.isReliable(now) && n.isResponsive(now) })
+		eligible = prefer(eligible, func(n *node) bool { return n.isReliable(now) && n.isResponsive(now, b.latencyDecay) })
 	}
 	if b.limits != nil {
 		eligible = prefer(eligible, func(n *node) bool { return b.limits.Allow(now, n.id) })
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -60,10 +60,9 @@
 	// fullBacklog is the number of requests running and waiting per slot from which a new one waits for longer than it
 	// runs.
 	fullBacklog = 2
-	// maxReliableBacklog and maxReliableLatency, in reference latencies, bound the wait for an upstream that serves its
-	// requests while others shed or fail many.
-	maxReliableBacklog = 3
-	maxReliableLatency = 3
+	// maxReliableLatency, in reference latencies, is the expected latency up to which an upstream that serves its requests is
+	// preferred to others that shed or fail many. Beyond it the load exceeds its capacity, and the others' part is needed.
+	maxReliableLatency = 1.5
 	// maxBacklogAge is the age from which a reported load says nothing about the queue.
 	maxBacklogAge = 200 * time.Millisecond
 )
@@ -169,9 +168,9 @@
 // isReliable reports whether the upstream serves nearly all of its requests.
 func (n *node) isReliable(now time.Time) bool { return n.successRate(now) >= HealthyRate }
 
-// isResponsive reports whether the upstream has a queue of bounded length and no request that is long overdue.
-func (n *node) isResponsive(now time.Time) bool {
-	return n.backlog(now) < maxReliableBacklog && n.inFlightLatency(now) < maxReliableLatency*float64(referenceLatency)
+// isResponsive reports whether the upstream has a short queue and a low expected latency.
+func (n *node) isResponsive(now time.Time, decay time.Duration) bool {
+	return n.backlog(now) < fullBacklog && n.expectedLatency(now, 0, decay) < maxReliableLatency*float64(referenceLatency)
 }
 
 // expectedLatency is the larger of the decayed estimate and of what the requests in flight show.
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -310,18 +310,11 @@
 	if notRun {
 		s.runs--
 	}
-	if s.covered || s.lost {
+	if s.covered || s.lost || s.open > 0 {
 		return
 	}
-	mayRetry := s.runs < g.plan.Attempts && s.attempts < g.plan.MaxAttempts() && (g.plan.Repeatable || s.runs == 0)
-	if s.open > 0 {
-		if s.open == 1 && mayRetry {
-			// Either the hedge failed or the attempt that it was made for: the other one may be as late as before.
-			s.hedgeAt = s.sentAt
-		}
-		return
-	}
-	if !mayRetry {
+	retry := s.runs < g.plan.Attempts && s.attempts < g.plan.MaxAttempts() && (g.plan.Repeatable || s.runs == 0)
+	if !retry {
 		g.markLost(s)
 		return
 	}
