--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -158,6 +158,9 @@
 	if b.useInFlight {
 		// A reply from a reliable upstream is worth a short wait: a shed or failed request costs a retry.
 		eligible = prefer(eligible, func(n *node) bool { return n.isReliable(now) && n.isResponsive(now, b.latencyDecay) })
+	} else {
+		// Without failure rates, which are recorded only with WithInFlightLatency, the last reply says whether it sheds.
+		eligible = prefer(eligible, func(n *node) bool { return !now.Before(n.shedUntil) })
 	}
 	if b.limits != nil {
 		eligible = prefer(eligible, func(n *node) bool { return b.limits.Allow(now, n.id) })
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -39,8 +39,8 @@
 	maxIdleLatencyFactor = 1.5
 	// overdueFactor scales the baseline to the age from which a request in flight counts as overdue.
 	overdueFactor = 2
-	// shedBackoff is the time for which an upstream that shed a request is avoided. With 20 ms, all requests move from one
-	// replica to the next, and each of them sheds in turn.
+	// shedBackoff is the time for which an upstream that shed a request is avoided, with WithInFlightLatency by retries and
+	// hedges only. With 20 ms, all requests move from one replica to the next, and each of them sheds in turn.
 	shedBackoff = time.Millisecond
 	// assumedShedLoad is the load assumed after a shed request: all slots and a queue of twice the slots are taken.
 	assumedShedLoad = 3
