Drop a wrapper and a derived field from scatterer.Query

Found when the change was read as a whole: Scatterer.NewQuery only called newQuery, and Query.deadline repeated the plan's deadline plus its margin. It was moved along with suspensions, but its only reader, Admit, runs before the first attempt.

Change: one constructor; Admit derives the time until the deadline from the plan and says when it is called.

--- a/scatterer/admission.go
+++ b/scatterer/admission.go
@@ -14,7 +14,8 @@
 // observed during an overload must not make every shard count as late.
 const maxMeanPart = 0.3
 
-// Admit leaves out shards that are full or expected to reply too late for the answer. It returns false, and the time after which
+// Admit is called before the first attempt. It leaves out shards that are full or expected to reply too late for the answer. It
+// returns false, and the time after which
 // the caller may come back, if too few shards remain: requests to full shards would only lengthen the queues that make every
 // query late.
 func (q *Query) Admit(now time.Time) (retryAfter time.Duration, ok bool) {
@@ -25,8 +26,8 @@
 	need, left := q.gather.Need(), q.plan.AnswerBy.Sub(now)
 	skip, ok := q.s.admission.forRoute(q.route).Admit(now, expected, left, need)
 	if !ok {
-		lateness := gatherer.Lateness(expected, left, need)
-		if after, ok := gatherer.RetryAfter(lateness, q.deadline.Sub(now), q.route.Target, rand.Float64()); ok {
+		lateness, untilDeadline := gatherer.Lateness(expected, left, need), q.plan.Deadline.Add(deadlineMargin).Sub(now)
+		if after, ok := gatherer.RetryAfter(lateness, untilDeadline, q.route.Target, rand.Float64()); ok {
 			return after, false
 		}
 	}
--- a/scatterer/query.go
+++ b/scatterer/query.go
@@ -27,9 +27,9 @@
 	s        *Scatterer
 	route    *router.Route
 	services []string
-	plan     gatherer.Plan
-	deadline time.Time
-	gather   *gatherer.Gather
+	// plan is as of the start; gather adjusts its own copy for suspensions.
+	plan   gatherer.Plan
+	gather *gatherer.Gather
 	// meanLatency is the mean latency of the route's attempts.
 	meanLatency time.Duration
 	// grant records whether the query was granted a retry after a shed.
@@ -40,9 +40,10 @@
 	hedges, retries, skips int
 }
 
-func newQuery(s *Scatterer, route *router.Route, services []string, t Timing) *Query {
+// NewQuery returns a query to one upstream of each service, without attempts.
+func (s *Scatterer) NewQuery(route *router.Route, services []string, t Timing) *Query {
 	q := &Query{
-		s: s, route: route, services: services, deadline: t.Deadline, meanLatency: s.latencies.routeMean(route),
+		s: s, route: route, services: services, meanLatency: s.latencies.routeMean(route),
 		asked: make([][]carobbend.UpstreamID, len(services)),
 	}
 	q.plan = q.newPlan(t)
@@ -115,10 +116,7 @@
 func (q *Query) Next(now time.Time) gatherer.Step { return q.gather.Next(now) }
 
 // AdjustForSuspension moves the times of the query earlier by d, the time for which the machine was suspended.
-func (q *Query) AdjustForSuspension(d time.Duration) {
-	q.deadline = q.deadline.Add(-d)
-	q.gather.AdjustForSuspension(d)
-}
+func (q *Query) AdjustForSuspension(d time.Duration) { q.gather.AdjustForSuspension(d) }
 
 // Attempt returns the attempt to send for a shard. It returns false if there is none: no upstream is left, or the extra-load
 // budget denies it.
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -26,7 +26,6 @@
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/hedger"
-	"carobbend.example/carobbend/router"
 )
 
 // latencyDecayTime is the time constant with which the raised latency estimate of an unused upstream decays to its baseline.
@@ -70,8 +69,3 @@
 	// CallerNetworkTime is the network time that the caller counts in addition to the time on this instance.
 	CallerNetworkTime time.Duration
 }
-
-// NewQuery returns a query to one upstream of each service, without attempts.
-func (s *Scatterer) NewQuery(route *router.Route, services []string, t Timing) *Query {
-	return newQuery(s, route, services, t)
-}
