--- a/scatterer/admission.go
+++ b/scatterer/admission.go
@@ -15,9 +15,8 @@
 const maxMeanPart = 0.3
 
 // Admit is called before the first attempt. It leaves out shards that are full or expected to reply too late for the answer. It
-// returns false, and the time after which
-// the caller may come back, if too few shards remain: requests to full shards would only lengthen the queues that make every
-// query late.
+// returns false, and the time after which the caller may come back, if too few shards remain: requests to full shards would only
+// lengthen the queues that make every query late.
 func (q *Query) Admit(now time.Time) (retryAfter time.Duration, ok bool) {
 	if q.plan.AnswerBy.IsZero() {
 		return 0, true
