--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -88,6 +88,21 @@
 	})
 }
 
+// awaitBeat waits for the next heartbeat.
+func (b *backend) awaitBeat() {
+	b.mu.Lock()
+	last := b.sequence
+	b.mu.Unlock()
+	for end := time.Now().Add(2 * heartbeat); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		b.mu.Lock()
+		beaten := b.sequence > last
+		b.mu.Unlock()
+		if beaten {
+			return
+		}
+	}
+}
+
 // leave removes the entry of a backend that never reports draining. The backend serves on.
 func (b *backend) leave() {
 	b.mu.Lock()
--- a/review/standin/case_foreign.go
+++ b/review/standin/case_foreign.go
@@ -76,8 +76,8 @@
 	})
 	if e.trouble {
 		time.AfterFunc(foreignAfter, func() {
-			s.put(key, map[string]any{"upstream": gone.service, "address": gone.address, "state": "ready"})
-			e.rec.printf("another writer puts %s with its zone, version, capacity, warmup_left_ms, sequence and born missing", key)
+			s.put(key, map[string]any{"upstream": gone.service, "address": gone.address, "zone": backendZone, "state": "ready"})
+			e.rec.printf("another writer puts %s with its version, capacity, warmup_left_ms, sequence and born missing", key)
 		})
 		time.AfterFunc(lapseAfter, func() {
 			s.remove(key)
