steerer: draw the addresses of large answers by spare capacity

Of more than 64 eligible instances each answer named the first 64 by name, so that the others got no caller. Each answer now draws 64 distinct ones at random with a probability in proportion to their spare capacity. An instance of unknown capacity counts with the smallest known one, where it added none before, so that a fleet of such instances always counted as short of capacity and its reserve served. Answers of up to 64 eligible instances are unchanged.

--- a/steerer/reserve.go
+++ b/steerer/reserve.go
@@ -57,14 +57,16 @@
 // needGiven returns the need for further instances given those that serve.
 func needGiven(serving []carobbend.Instance) Need {
 	sum, busy, n := 0.0, 0.0, 0
+	unknown := unknownCapacity(serving)
 	for _, x := range serving {
 		if x.Leaving {
 			continue
 		}
 		n++
-		sum += x.Capacity
+		c := capacityOf(x, unknown)
+		sum += c
 		if x.Busy {
-			busy += x.Capacity
+			busy += c
 		}
 	}
 	switch {
@@ -77,6 +79,29 @@
 	}
 }
 
+// unknownCapacity returns the capacity that instances of unknown capacity count with: the smallest known one, or the least of
+// a large instance if none is known.
+func unknownCapacity(instances []carobbend.Instance) float64 {
+	smallest := 0.0
+	for _, x := range instances {
+		if x.Capacity > 0 && (smallest == 0 || x.Capacity < smallest) {
+			smallest = x.Capacity
+		}
+	}
+	if smallest == 0 {
+		return largeCapacity
+	}
+	return smallest
+}
+
+// capacityOf returns the capacity of an instance, or the given one if it isn't known.
+func capacityOf(x carobbend.Instance, unknown float64) float64 {
+	if x.Capacity > 0 {
+		return x.Capacity
+	}
+	return unknown
+}
+
 // Delay returns how long an instance waits for others to enrol before it checks again whether it is needed. random is
 // a number drawn from 0 to 1 that spreads the enrolment of instances in reserve.
 func Delay(self carobbend.Instance, need Need, random float64) time.Duration {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -13,6 +13,8 @@
 
 import (
 	"cmp"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +25,8 @@
 const (
 	// maxAddresses bounds the number of addresses in an answer.
 	maxAddresses = 64
+	// busyPart is the part of its capacity with which a busy instance counts when callers are distributed.
+	busyPart = 0.25
 	// enoughInDataCentre is the number of instances in the caller's data centre from which instances elsewhere are
 	// left out.
 	enoughInDataCentre = 2
@@ -41,6 +45,8 @@
 	instances []carobbend.Instance
 	// instanceCount is the number of instances, this one included.
 	instanceCount int
+	// random returns numbers from 0 to 1, which choose the instances of an answer; nil means rand.Float64.
+	random func() float64
 }
 
 // SetSelf sets this instance and whether callers may be sent to it.
@@ -81,28 +87,64 @@
 
 // Addresses returns the addresses for a caller in the data centre dc, or false if no instance is known to serve. If
 // that data centre has at least enoughInDataCentre eligible instances, so that the loss of one leaves another, only
-// these are returned.
+// these are returned. Of more than maxAddresses instances, each call draws others.
 func (s *Selector) Addresses(dc carobbend.DataCentre) (carobbend.Addresses, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	eligible := s.eligible()
-	all, inDataCentre := make([]string, 0, len(eligible)), make([]string, 0, len(eligible))
+	inDataCentre := make([]carobbend.Instance, 0, len(eligible))
 	for _, x := range eligible {
-		all = append(all, x.CallerAddress)
 		if x.DataCentre == dc {
-			inDataCentre = append(inDataCentre, x.CallerAddress)
+			inDataCentre = append(inDataCentre, x)
 		}
 	}
-	a := carobbend.Addresses{Addresses: all, ValidFor: addressValidity}
 	if len(inDataCentre) >= enoughInDataCentre {
-		a.Addresses = inDataCentre
+		eligible = inDataCentre
 	}
-	if n := len(a.Addresses); n > maxAddresses {
-		a.Addresses = a.Addresses[:maxAddresses]
+	if len(eligible) > maxAddresses {
+		eligible = s.sample(eligible, maxAddresses)
+	}
+	a := carobbend.Addresses{Addresses: make([]string, 0, len(eligible)), ValidFor: addressValidity}
+	for _, x := range eligible {
+		a.Addresses = append(a.Addresses, x.CallerAddress)
 	}
 	return a, len(a.Addresses) > 0
 }
 
+// sample returns n distinct instances, drawn at random. Callers use the addresses of an answer alike, so an instance is drawn
+// with a probability in proportion to its spare capacity, as far as the answer isn't full of larger ones.
+func (s *Selector) sample(all []carobbend.Instance, n int) []carobbend.Instance {
+	random := s.random
+	if random == nil {
+		random = rand.Float64
+	}
+	type drawn struct {
+		instance carobbend.Instance
+		key      float64
+	}
+	unknown := unknownCapacity(all)
+	ds := make([]drawn, len(all))
+	for i, x := range all {
+		// The n smallest of exponentially distributed numbers with these rates are a weighted sample without replacement.
+		ds[i] = drawn{x, -math.Log(1-random()) / spareCapacity(x, unknown)}
+	}
+	slices.SortFunc(ds, func(a, b drawn) int { return cmp.Compare(a.key, b.key) })
+	out := make([]carobbend.Instance, n)
+	for i := range out {
+		out[i] = ds[i].instance
+	}
+	return out
+}
+
+// spareCapacity is the capacity that an instance has for more callers, in cores; unknown is that of one which states none.
+func spareCapacity(x carobbend.Instance, unknown float64) float64 {
+	c := capacityOf(x, unknown)
+	if x.Busy {
+		return busyPart * c
+	}
+	return c
+}
+
 // eligible returns the instances that callers may use: only the large ones if these suffice, else all. So callers
 // leave the small instances, which served while large ones were missing.
 func (s *Selector) eligible() []carobbend.Instance {
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -64,6 +65,71 @@
 	}
 }
 
+// TestAnswersDiffer guards against a fleet of which only the first 64 instances by name get callers, and against small instances
+// that get as many callers as large ones. An instance of unknown capacity counts with the smallest known one.
+func TestAnswersDiffer(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := Selector{random: rng.Float64}
+	m := map[string]carobbend.Instance{}
+	for i := range 400 {
+		x := instance(fmt.Sprintf("x%03d", i), "b", []float64{1.6, 0.4, 0, 1.6}[i%4])
+		x.Busy = i%4 == 3
+		m[x.Name] = x
+	}
+	s.Update(m)
+	const answers = 400
+	listed := map[string]int{}
+	for range answers {
+		a, _ := s.Addresses("a")
+		if got := len(slices.Compact(slices.Sorted(slices.Values(a.Addresses)))); got != maxAddresses {
+			t.Fatalf("got %d distinct addresses, want %d", got, maxAddresses)
+		}
+		for _, x := range a.Addresses {
+			listed[x]++
+		}
+	}
+	var kinds [4]float64
+	for i := range 400 {
+		n := listed[fmt.Sprintf("x%03d:1", i)]
+		if n == 0 {
+			t.Errorf("instance %d: got no caller in %d answers, want some", i, answers)
+		}
+		kinds[i%4] += float64(n)
+	}
+	for i, name := range []string{1: "small", 2: "unknown capacity", 3: "large and busy"} {
+		if i == 0 {
+			continue
+		}
+		if got := kinds[0] / kinds[i]; got < 3 || got > 4.2 {
+			t.Errorf("large instance compared with one that is %s: got %.1f times as many callers, want 3 to 4.2", name, got)
+		}
+	}
+}
+
+// TestUnknownCapacity guards against a fleet that always counts as short of capacity because its instances state none, so that
+// the whole reserve serves.
+func TestUnknownCapacity(t *testing.T) {
+	const count = 6
+	list := make([]carobbend.Instance, 0, count)
+	for i := range count {
+		list = append(list, instance(fmt.Sprint("u", i), "a", 0))
+	}
+	small := instance("small", "a", 0.2)
+	for _, c := range []struct {
+		name string
+		list []carobbend.Instance
+		want Need
+	}{
+		{"none is known", list, NeedNone},
+		{"as small as the smallest known one", append(slices.Clone(list), instance("s", "a", 0.2)), NeedNow},
+		{"as large as the only known one", append(slices.Clone(list[:3]), instance("l", "a", 0.8)), NeedNone},
+	} {
+		if got := NeedOf(small, listOf(c.list...)); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // TestReserve guards against many small instances that all serve: each follows the full state of the store and learns
 // little about upstreams.
 func TestReserve(t *testing.T) {
