scatterer: wait for the retry of a single request that may have run

A repeatable single request whose upstream resets the connection got 502 at once although its deadline was seconds away: the second attempt was denied, and a denied retry ended the request. Three things deny it: the retry budget (in the first 1.2 windows of an instance the slack is 0, and a ratio of 0.19 allows nothing to a service with fewer than six requests in the window), upstreams that reported a queue in the last 20 ms, and a service of which every upstream was asked. The retry is now tried again after 10 to 320 ms until the deadline, and may then go to the upstream that broke; one that shed the request isn't asked again. A request that ran nowhere, one with an upstream's failure reply at hand and fan-outs end as before.

Hedges of single requests leave one extra request of the window to retries.

--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -256,6 +256,7 @@
 	q.lastKind = res.kind
 	if res.reply != nil && res.kind == carobbend.FailureBroken {
 		q.upstreamFailure = res.reply
+		q.scatter.KeepFailureReply()
 	}
 }
 
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -54,6 +54,10 @@
 	maxNotRunAttempts = 4
 	// hedgeRetryInterval is the time until a denied hedge is tried again.
 	hedgeRetryInterval = 10 * time.Millisecond
+	// minRetryInterval and maxRetryInterval bound the time until a delayed retry is tried again, which doubles each time: an
+	// upstream's short queue ends within some 10 ms, and the budget of a service gains something each tenth of its window.
+	minRetryInterval = 10 * time.Millisecond
+	maxRetryInterval = 320 * time.Millisecond
 	// maxHedgedShare is the maximum share of the shards that have a hedge open at a time. If more are late, the cause isn't a
 	// straggler: this instance or the whole index is slow, and hedges would add load.
 	maxHedgedShare = 0.34
@@ -91,6 +95,8 @@
 	Shard int
 	// Hedge says that another attempt is still open, First that none was made before; otherwise the last one failed.
 	Hedge, First bool
+	// Delayed says that the attempt was denied before and delayed with Delay.
+	Delayed bool
 	// AfterShed says that the last attempt was shed. Shortfall is then the number of shards that the answer lacks without such
 	// retries; 0 or less says that it doesn't need this one.
 	AfterShed bool
@@ -102,7 +108,7 @@
 	Action Action
 	// Reason is set with Fail.
 	Reason Reason
-	// Launch lists the attempts to start; each is followed by a call of Sent, Denied or Postpone.
+	// Launch lists the attempts to start; each is followed by a call of Sent, Denied, Delay or Postpone.
 	Launch []AttemptSpec
 	// Until is the time by which Next must be called again.
 	Until time.Time
@@ -124,6 +130,9 @@
 	// runs counts the attempts that may have run, attempts all of them.
 	runs, attempts int
 	hedgeAt        time.Time
+	// retryAt is the time of a delayed retry, which was delayed by retryInterval; zero means that there is none.
+	retryAt       time.Time
+	retryInterval time.Duration
 }
 
 // Gather is the state of one request.
@@ -167,6 +176,7 @@
 	s.runs++
 	s.attempts++
 	s.shed, s.sentAt = false, now
+	s.retryAt, s.retryInterval = time.Time{}, 0
 	if s.attempts == 1 && g.plan.HedgeDelay > 0 && g.plan.Repeatable {
 		s.hedgeAt = now.Add(g.plan.HedgeDelay)
 	} else {
@@ -265,9 +275,13 @@
 		g.plan.AnswerBy = g.plan.AnswerBy.Add(-d)
 	}
 	for i := range g.shards {
-		if s := &g.shards[i]; !s.hedgeAt.IsZero() {
+		s := &g.shards[i]
+		if !s.hedgeAt.IsZero() {
 			s.hedgeAt = s.hedgeAt.Add(-d)
 		}
+		if !s.retryAt.IsZero() {
+			s.retryAt = s.retryAt.Add(-d)
+		}
 	}
 }
 
@@ -282,6 +296,14 @@
 	g.markLost(s)
 }
 
+// Delay records that a retry couldn't be started, and that it is worth waiting for. Next returns it again, after a time that
+// doubles with each call, until the deadline.
+func (g *Gather) Delay(i int, now time.Time) {
+	s := &g.shards[i]
+	s.retryInterval = min(max(2*s.retryInterval, minRetryInterval), maxRetryInterval)
+	s.retryAt = now.Add(s.retryInterval)
+}
+
 // Postpone records that a retry which the answer doesn't need wasn't started. Next returns it again once the loss of another
 // shard makes it necessary.
 func (g *Gather) Postpone(i int) { g.Skip(i) }
@@ -361,7 +383,8 @@
 	return n
 }
 
-// Next returns what to do now. It is called again once each of the returned attempts was passed to Sent, Denied or Postpone.
+// Next returns what to do now. It is called again once each of the returned attempts was passed to Sent, Denied, Delay or
+// Postpone.
 func (g *Gather) Next(now time.Time) Step {
 	g.reinstateSkipped()
 	open := g.plan.Shards - g.covered - g.lost
@@ -384,6 +407,7 @@
 	if a := g.plan.AnswerBy; !a.IsZero() && now.Before(a) && a.Before(step.Until) {
 		step.Until = a
 	}
+	g.launchDelayed(now, &step)
 	hedges := int(math.Ceil(maxHedgedShare*float64(g.plan.Shards))) - g.hedgedShards()
 	for i := range g.shards {
 		s := &g.shards[i]
@@ -402,3 +426,17 @@
 	}
 	return step
 }
+
+// launchDelayed adds the delayed retries that are due to the step, or lowers its Until to the time of the first one.
+func (g *Gather) launchDelayed(now time.Time, step *Step) {
+	for i := range g.shards {
+		s := &g.shards[i]
+		switch {
+		case s.retryAt.IsZero() || s.covered || s.lost || s.open > 0:
+		case !now.Before(s.retryAt):
+			step.Launch = append(step.Launch, AttemptSpec{Shard: i, Delayed: true})
+		case s.retryAt.Before(step.Until):
+			step.Until = s.retryAt
+		}
+	}
+}
--- a/hedger/windowbudget.go
+++ b/hedger/windowbudget.go
@@ -103,6 +103,20 @@
 func (b *WindowBudget) TryWithdrawWithin(now time.Time, service string, part float64) (used float64, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.withdraw(now, service, part, 0)
+}
+
+// TryWithdrawHedge is TryWithdraw for a hedge of a single request. It leaves one extra request for the retry of another one that
+// fails: a hedge only makes a request faster, and in a service with few requests hedges would use the whole budget.
+func (b *WindowBudget) TryWithdrawHedge(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.withdraw(now, service, 1, 1)
+	return ok
+}
+
+// withdraw takes an extra request if the given part of the budget then still holds reserved ones; b.mu is held.
+func (b *WindowBudget) withdraw(now time.Time, service string, part, reserved float64) (used float64, ok bool) {
 	u := b.usage(now, service)
 	requests, extra := 0, 0
 	for i := range u.requests {
@@ -113,7 +127,7 @@
 		}
 	}
 	allowed := b.ratio*float64(requests) + b.effectiveSlack(now)
-	if float64(extra+1) > min(part, 1)*allowed {
+	if float64(extra+1)+reserved > min(part, 1)*allowed {
 		return 1, false
 	}
 	u.extra[u.current%(cells+1)]++
--- a/scatterer/query.go
+++ b/scatterer/query.go
@@ -36,6 +36,11 @@
 	grant hedger.RetryGrant
 	// asked holds, for each shard, the upstreams that were asked and are avoided by its next attempt.
 	asked [][]carobbend.UpstreamID
+	// shedBy holds the upstreams that shed the request of a single service. They aren't asked again: a second copy of the
+	// refusal would hide that the request ran.
+	shedBy []carobbend.UpstreamID
+	// failureReply says that an upstream's failure reply can be passed on.
+	failureReply bool
 
 	hedges, retries, skips int
 }
@@ -118,19 +123,27 @@
 // AdjustForSuspension moves the times of the query earlier by d, the time for which the machine was suspended.
 func (q *Query) AdjustForSuspension(d time.Duration) { q.gather.AdjustForSuspension(d) }
 
+// KeepFailureReply records that the caller of this package holds a failure reply of an upstream that answers the request if no
+// further attempt is possible. A denied retry is then not waited for.
+func (q *Query) KeepFailureReply() { q.failureReply = true }
+
 // Attempt returns the attempt to send for a shard. It returns false if there is none: no upstream is left, or the extra-load
 // budget denies it.
 func (q *Query) Attempt(now time.Time, spec gatherer.AttemptSpec) (Attempt, bool) {
 	b, shard, kind := q.s.cfg.Balancer, spec.Shard, kindOf(spec)
-	id, ok := b.Pick(now, q.s.cfg.Candidates(q.services[shard]), q.asked[shard])
-	if !ok || (kind != AttemptPrimary && slices.Contains(q.asked[shard], id)) {
-		q.gather.Denied(shard, now)
+	id, ok := b.Pick(now, q.candidates(spec), q.asked[shard])
+	if !ok || (kind != AttemptPrimary && !spec.Delayed && slices.Contains(q.asked[shard], id)) {
+		if !q.delayed(now, spec, kind) {
+			q.gather.Denied(shard, now)
+		}
 		return Attempt{}, false
 	}
 	if kind != AttemptPrimary && !q.tryWithdraw(now, spec) {
-		if spec.AfterShed && spec.Shortfall <= 0 {
+		switch {
+		case q.delayed(now, spec, kind):
+		case spec.AfterShed && spec.Shortfall <= 0:
 			q.gather.Postpone(shard)
-		} else {
+		default:
 			q.gather.Denied(shard, now)
 		}
 		return Attempt{}, false
@@ -147,10 +160,34 @@
 	return Attempt{s: q.s, route: q.route, shard: shard, kind: kind, sent: b.Begin(now, id, q.meanLatency), sentAt: now}, true
 }
 
+// candidates returns the upstreams from which an attempt is chosen. A retry that was delayed may go to one that was asked before
+// if no other one is left: what broke the first attempt, such as a restart, may have passed.
+func (q *Query) candidates(spec gatherer.AttemptSpec) []carobbend.UpstreamID {
+	all := q.s.cfg.Candidates(q.services[spec.Shard])
+	if !spec.Delayed || len(q.shedBy) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(id carobbend.UpstreamID) bool { return slices.Contains(q.shedBy, id) })
+}
+
+// delayed delays the retry of a single request that may have run and returns true, or returns false for any other attempt. The
+// request could only be answered as failed although there is time left: after a while, the budget of a service with few
+// requests allows a retry, and so do upstreams that are busy. A request that didn't run is refused at once instead.
+func (q *Query) delayed(now time.Time, spec gatherer.AttemptSpec, kind AttemptKind) bool {
+	if q.isFanOut() || kind != AttemptRetry || q.gather.Runs() == 0 || q.failureReply {
+		return false
+	}
+	q.gather.Delay(spec.Shard, now)
+	return true
+}
+
 // tryWithdraw takes an extra request from the retry budget of the shard's service, or returns false. Retries after sheds go
 // through the retry selector, since not all queries can be completed while upstreams shed at random.
 func (q *Query) tryWithdraw(now time.Time, spec gatherer.AttemptSpec) bool {
 	s, service := q.s, q.services[spec.Shard]
+	if spec.Hedge && !q.isFanOut() {
+		return s.cfg.RetryBudget.TryWithdrawHedge(now, service)
+	}
 	if !spec.AfterShed || !q.isFanOut() {
 		return s.cfg.RetryBudget.TryWithdraw(now, service)
 	}
@@ -168,6 +205,9 @@
 		// again: a second copy of the refusal would hide that the request ran.
 		q.asked[a.shard] = slices.DeleteFunc(q.asked[a.shard], func(id carobbend.UpstreamID) bool { return id == a.Upstream() })
 	}
+	if kind == carobbend.FailureShed && !q.isFanOut() {
+		q.shedBy = append(q.shedBy, a.Upstream())
+	}
 	q.gather.Failed(a.shard, kind)
 	return false
 }
