exchanger: end a reply without a length only at an orderly end of stream

A socket reports a broken connection once. The writer's error only decided whether the connection was used again.

Each end of the stream is now checked where the connection is read, so that whole, reduced and streamed bodies are covered alike. In the state CLOSE_WAIT the upstream has ended its direction in order and the reply is complete at once, also while the body is still being written. In any other state the connection is gone, so the pending write ends at once, at the latest at the deadline of the connection. The reader waits for it, which removes the race between the two reports. After an orderly end, Linux reports a reset as EPIPE; every other error of the write came instead of that end, and the attempt fails as broken. Waiting for the writer alone, with a time limit, was ruled out: an upstream may reply and end its stream before it reads the body, and a limit either delays these replies or is a race again.

A relayed reply that breaks off closed the caller's connection in order, which completes an answer for a caller of HTTP/1.0, where there are no chunks. The connection is reset instead.

--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -212,8 +212,8 @@
 	}
 	reusable := func() bool {
 		select {
-		case werr := <-written:
-			return clean && werr == nil && m.persistent && c.finishReply(m)
+		case <-written.done:
+			return clean && written.err == nil && m.persistent && c.finishReply(m)
 		default:
 			// The upstream replied before it read the whole body, so the connection can't be reused.
 			return false
@@ -232,8 +232,8 @@
 	return reply, reusable(), nil
 }
 
-// write sends the head and a short body at once and a long body in the background; the channel receives its result.
-func (a *Attempt) write(c *conn, t Target, r *Request, left time.Duration) (<-chan error, error) {
+// write sends the head and a short body at once and a long body in the background.
+func (a *Attempt) write(c *conn, t Target, r *Request, left time.Duration) (*bodyWrite, error) {
 	head := a.x.requestHead(t, r, left)
 	inline := len(r.Body) <= maxInlineBody
 	if inline {
@@ -248,14 +248,15 @@
 		}
 		return nil, a.wrapError("write", kind, err)
 	}
-	written := make(chan error, 1)
+	written := &bodyWrite{done: make(chan struct{})}
+	c.bodyWrite = written
 	if inline {
-		written <- nil
+		close(written.done)
 		return written, nil
 	}
 	go func() {
-		_, err := c.Write(r.Body)
-		written <- err
+		defer close(written.done)
+		_, written.err = c.Write(r.Body)
 	}()
 	return written, nil
 }
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -34,6 +34,8 @@
 	bounded boundedReader
 	r       *bufio.Reader
 	pool    *pool
+	// bodyWrite is that of the latest request.
+	bodyWrite *bodyWrite
 	// served is the number of replies that were read completely.
 	served int
 	// idleUntil is the time until which the connection may be reused.
@@ -128,7 +130,7 @@
 	p.x.opened.Add(1)
 	p.x.open.Add(1)
 	c := &conn{Conn: nc, pool: p}
-	c.bounded.r = nc
+	c.bounded.r = c
 	c.r = bufio.NewReaderSize(&c.bounded, readBuffer)
 	return c, nil
 }
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -48,6 +48,20 @@
 	return rtt
 }
 
+// resetOnClose has the caller's connection closed with a reset. The end of the stream would complete an answer without a
+// length and without chunks, as HTTP/1.0 has it.
+func resetOnClose(ctx context.Context) error {
+	c, ok := ctx.Value(callerKey{}).(*callerConn)
+	if !ok {
+		return nil
+	}
+	tc, ok := c.conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return nil
+	}
+	return tc.SetLinger(0)
+}
+
 // roundTrip returns the kernel's estimate of the round-trip time of a TCP connection, or 0.
 func roundTrip(c net.Conn) time.Duration {
 	tc, ok := c.(*net.TCPConn)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -181,6 +181,9 @@
 		f.Recorder.Answered(q.routeName(), q.outcome, time.Since(began))
 	}
 	if q.truncated {
+		if err := resetOnClose(r.Context()); err != nil {
+			f.log.log.Error(err, "caller connection can't be reset", "id", q.id)
+		}
 		// The server then closes the connection without the end of the answer.
 		panic(http.ErrAbortHandler)
 	}
