forwarder: don't relay a refusal that the upstream doesn't vouch for

An upstream's 503 without X-Not-Executed was relayed unchanged on routes whose requests may run only once.

On such routes these replies become this instance's own 502 without the proof. Repeatable routes still get the reply unchanged.

TestRefusals of exchanger expected NotRun for a 421 without the header. That was wrong, since no other response than one with the header states this. It now expects NotRun for a 421 and a 503 with the header, and not for either without it.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -33,7 +33,7 @@
 	Deadline string
 	// Upstream names the target upstream; any other one refuses with StatusMisdirected.
 	Upstream string
-	// NotRun is present in a reply to a request that the upstream didn't run.
+	// NotRun is present in a reply to a request that the upstream didn't run. Nothing else states that, no status either.
 	NotRun string
 	// Load holds the upstream's running requests, waiting requests and slots, separated by commas.
 	Load string
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -231,20 +231,26 @@
 	}
 }
 
+// TestRefusals guards against a reply that counts as not run although its upstream doesn't state so.
 func TestRefusals(t *testing.T) {
 	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
-		if r.Header.Get("X-Id") == "moved" {
-			reply(w, r, StatusMisdirected, "")
-		} else {
+		switch id := r.Header.Get("X-Id"); id {
+		case "moved":
+			reply(w, r, StatusMisdirected, "", "X-Not-Run: 1\r\n")
+		case "full":
 			reply(w, r, 503, "", "X-Not-Run: 1\r\n")
+		case "moved, unmarked":
+			reply(w, r, StatusMisdirected, "")
+		case "full, unmarked":
+			reply(w, r, 503, "")
 		}
 		return true
 	})
 	x := newExchanger(t)
-	for _, id := range []string{"moved", "full"} {
+	for id, want := range map[string]bool{"moved": true, "full": true, "moved, unmarked": false, "full, unmarked": false} {
 		got, err := do(x, u, request(id))
-		if err != nil || !got.NotRun {
-			t.Errorf("%s: got %+v, %v, want a reply with NotRun", id, got, err)
+		if err != nil || got.NotRun != want {
+			t.Errorf("%s: got %+v, %v, want a reply with NotRun %v", id, got, err, want)
 		}
 	}
 }
--- a/exchanger/reply.go
+++ b/exchanger/reply.go
@@ -160,7 +160,7 @@
 // reply returns the reply of a message without its body.
 func (x *Exchanger) reply(m message) *Reply {
 	r := &Reply{Status: m.StatusCode, Header: m.Header, Length: m.ContentLength}
-	r.NotRun = m.Header.Get(x.headers.NotRun) != "" || m.StatusCode == StatusMisdirected
+	r.NotRun = m.Header.Get(x.headers.NotRun) != ""
 	r.Load, r.HasLoad = parseLoad(m.Header.Get(x.headers.Load))
 	return r
 }
--- /dev/null
+++ b/forwarder/failure.go
@@ -0,0 +1,43 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+
+	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/gatherer"
+)
+
+// fail sends the most specific failure: that nothing ran, the failure reply of the upstream of a single service, that the
+// deadline passed, or that attempts failed.
+func (q *query) fail(ctx context.Context, w http.ResponseWriter, reason gatherer.Reason) {
+	switch {
+	case q.scatter.Runs() == 0:
+		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", retryAfter})
+	case !q.isFanOut() && q.upstreamFailure != nil && q.mayRelay(q.upstreamFailure):
+		q.outcome = OutcomeUpstream
+		q.relay(ctx, w, q.upstreamFailure)
+	case !q.isFanOut() && q.upstreamFailure != nil:
+		q.respond(w, &refusal{http.StatusBadGateway, OutcomeFailed, "the upstream refused the request, which may have run", 0})
+	case reason == gatherer.ReasonDeadline:
+		q.respond(w, &refusal{http.StatusGatewayTimeout, OutcomeTimeout, "no answer came in time", 0})
+	default:
+		q.respond(w, &refusal{http.StatusBadGateway, OutcomeFailed, "attempts failed and may have run", 0})
+	}
+}
+
+// mayRelay reports whether a failure reply may be passed on unchanged. To a caller, some statuses guarantee that the request
+// didn't run, and it repeats a request that must not run twice. An upstream that doesn't state this guarantees nothing.
+func (q *query) mayRelay(reply *exchanger.Reply) bool {
+	return q.route.Repeatable || reply.NotRun || !guaranteesNotRun(reply.Status)
+}
+
+// guaranteesNotRun reports whether callers take a status to say that the request didn't run.
+func guaranteesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,6 +4,9 @@
 // retries and completion, package balancer selects upstreams, and package exchanger sends. The method, target, body
 // and end-to-end headers are relayed unchanged.
 //
+// A failure reply of an upstream is relayed unchanged, too, unless its status guarantees to the caller that the request didn't
+// run, the request may run only once, and the upstream doesn't state that it didn't run it: that caller gets 502.
+//
 // Statuses that this package sets itself: 400 without a request id, 404 without a route, 408 for a body that doesn't
 // arrive in time, 413 for a body over its limit, 503 if nothing ran and nothing will, 502 if attempts failed and may have
 // run, 504 once the deadline passed. The body of these is a carobbend.ErrorReply.
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -228,7 +228,7 @@
 // classify returns the failure kind of a complete reply; FailureNone means that the reply is usable.
 func (q *query) classify(reply *exchanger.Reply) carobbend.FailureKind {
 	switch {
-	case reply.Status == exchanger.StatusMisdirected:
+	case reply.NotRun && reply.Status == exchanger.StatusMisdirected:
 		return carobbend.FailureLeaving
 	case reply.NotRun:
 		return carobbend.FailureShed
@@ -353,19 +353,3 @@
 
 // writerOnly hides io.ReaderFrom, which would ignore the buffer.
 type writerOnly struct{ io.Writer }
-
-// fail sends the most specific failure: that nothing ran, the failure reply of the upstream of a single service, that the
-// deadline passed, or that attempts failed.
-func (q *query) fail(ctx context.Context, w http.ResponseWriter, reason gatherer.Reason) {
-	switch {
-	case q.scatter.Runs() == 0:
-		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", retryAfter})
-	case !q.isFanOut() && q.upstreamFailure != nil:
-		q.outcome = OutcomeUpstream
-		q.relay(ctx, w, q.upstreamFailure)
-	case reason == gatherer.ReasonDeadline:
-		q.respond(w, &refusal{http.StatusGatewayTimeout, OutcomeTimeout, "no answer came in time", 0})
-	default:
-		q.respond(w, &refusal{http.StatusBadGateway, OutcomeFailed, "attempts failed and may have run", 0})
-	}
-}
