Authenticate callers by the keys of client accounts

The routing may hold accounts; the key of a request was passed on to upstreams and the caller chose the account that they saw.

Requests on routes that aren't public now need a key of an account and are answered 401 otherwise. Authorization is no longer forwarded, and the header that names the account is set from the key. A request that waited for its body is decided again by the newest table. An account without a priority leaves that of the route. Without accounts nothing changes.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,7 +4,8 @@
 // retries and completion, package balancer selects upstreams, and package exchanger sends. The method, target, body
 // and end-to-end headers are relayed unchanged.
 //
-// Statuses that this package sets itself: 400 without a request id, 404 without a route, 408 for a body that doesn't
+// Statuses that this package sets itself: 400 without a request id, 401 without a key of a client account where the route
+// needs one, 404 without a route, 408 for a body that doesn't
 // arrive in time, 413 for a body over its limit, 503 if nothing ran and nothing will, 502 if attempts failed and may have
 // run, 504 once the deadline passed. The body of these is a carobbend.ErrorReply.
 //
@@ -26,6 +27,7 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/authenticator"
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/exchanger"
 	"carobbend.example/carobbend/gatherer"
@@ -55,6 +57,8 @@
 	Proofs string
 	// Missing is the number of shards that a combined answer leaves out.
 	Missing string
+	// Account names the client account to upstreams. With accounts in the routing, a caller's own value is dropped.
+	Account string
 }
 
 // Recorder records the outcomes of requests and attempts. It must be safe for concurrent use.
@@ -83,6 +87,8 @@
 	OutcomeTimeout Outcome = "timeout"
 	// OutcomeInvalid is a request that can't be served because it is invalid or has no route.
 	OutcomeInvalid Outcome = "invalid"
+	// OutcomeUnauthorized is a request without a key of a client account, on a route that needs one.
+	OutcomeUnauthorized Outcome = "unauthorized"
 	// OutcomeCallerLeft says that the caller left.
 	OutcomeCallerLeft Outcome = "caller-gone"
 )
@@ -213,20 +219,13 @@
 		return &refusal{status: http.StatusBadRequest, outcome: OutcomeInvalid, reason: "the request has no id"}
 	}
 	host, uri, path := target(r)
-	route, ok := t.Find(host, path)
-	if !ok {
-		return &refusal{status: http.StatusNotFound, outcome: OutcomeInvalid, reason: "no route matches host and path"}
-	}
-	q.route = route
-	q.services = route.Shards
-	if len(q.services) == 0 {
-		q.services = []string{route.Choose()}
+	if refused := q.decide(r.Header, host, path); refused != nil {
+		return refused
 	}
 	f.RetryBudget.Requested(q.began, q.services...)
 	if shortage := f.missingServices(q); shortage != "" {
 		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, shortage, retryAfter}
 	}
-	q.deadline = q.began.Add(timeLeft(r.Header.Get(f.Headers.Deadline), route.Timeout))
 	reservation, ok := f.Memory.Reserve(requestBytes + int64(len(q.services))*shardBytes)
 	if !ok {
 		return noMemory()
@@ -236,16 +235,16 @@
 	if refused != nil {
 		return refused
 	}
+	if refused := q.decideAgain(r.Header, host, path); refused != nil {
+		return refused
+	}
 	q.request = &exchanger.Request{
 		Method: r.Method, URI: uri, Host: r.Host, ID: q.id, Body: body, HasBody: hasBody(r), Deadline: q.deadline,
-		SuspendedTime: q.suspendedSince(q.suspended),
+		Header: q.requestHeader(r.Header), SuspendedTime: q.suspendedSince(q.suspended),
 	}
 	if q.isFanOut() {
-		q.request.Reduce = func() exchanger.Reducer { return gatherer.NewTopK(route.Records) }
+		q.request.Reduce = func() exchanger.Reducer { return gatherer.NewTopK(q.route.Records) }
 	}
-	f.Exchanger.ForwardHeaders(r.Header, func(name, value string) {
-		q.request.Header = append(q.request.Header, name+": "+value+"\r\n"...)
-	})
 	return nil
 }
 
@@ -310,6 +309,9 @@
 	h := q.header(w)
 	h.Set("Content-Type", "application/json")
 	h.Set(q.f.Headers.RequestID, q.id)
+	if r.status == http.StatusUnauthorized {
+		h.Set(authenticator.ChallengeHeader, authenticator.Challenge)
+	}
 	if r.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -27,7 +27,7 @@
 
 var names = Headers{
 	Headers: exchanger.Headers{RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load"},
-	Proof:   "X-Proof", Proofs: "X-Proofs", Missing: "X-Missing",
+	Proof:   "X-Proof", Proofs: "X-Proofs", Missing: "X-Missing", Account: "X-Tenant",
 }
 
 // tier is a forwarder with test upstreams.
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -25,6 +25,10 @@
 	table    *router.Table
 	route    *router.Route
 	services []string
+	// account is the client account that holds the request's key; nil without one.
+	account *carobbend.Account
+	// priority is the rank of the request, 0 first.
+	priority int
 	deadline time.Time
 	request  *exchanger.Request
 	// suspended is what Config.Suspended returned when the request arrived.
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,7 @@
 	hosts    map[string]*host
 	services map[string]carobbend.Service
 	limits   carobbend.CallerLimits
+	accounts accounts
 }
 
 // host holds the routes of one host by prefix.
@@ -98,6 +99,7 @@
 		hosts:    make(map[string]*host),
 		services: make(map[string]carobbend.Service, len(routing.Services)),
 		limits:   routing.Limits,
+		accounts: newAccounts(routing.Version, routing.Accounts),
 	}
 	for _, s := range routing.Services {
 		t.services[s.Name] = s
--- a/routing.go
+++ b/routing.go
@@ -10,10 +10,37 @@
 	Routes []Route
 	// Services are the services to which the routes refer.
 	Services []Service
+	// Accounts are the client accounts. If there are none, requests need no key.
+	Accounts []Account
 	// Limits bound what a caller may send.
 	Limits CallerLimits
 }
 
+// RoutePriority as the priority of an account leaves its requests the priority of their routes.
+const RoutePriority = -1
+
+// Account is a client account, on whose behalf callers send requests.
+type Account struct {
+	// Name is unique among the accounts.
+	Name string
+	// Keys are the keys by which callers prove that they act for the account. They must not be logged.
+	Keys []string
+	// Priority is the rank of the account's requests, 0 first, or RoutePriority.
+	Priority int
+	// Rate is the number of requests a second that the account may send through all instances together, and Burst the
+	// number beyond that at once. A rate of 0 means no limit.
+	Rate, Burst float64
+}
+
+// String returns the account's name. It keeps the keys out of formatted output.
+func (a Account) String() string { return a.Name }
+
+// GoString is String for the verb %#v.
+func (a Account) GoString() string { return a.Name }
+
+// Limited reports whether the rate of the account's requests is limited.
+func (a Account) Limited() bool { return a.Rate > 0 }
+
 // Route describes how requests to one host and path prefix are handled.
 type Route struct {
 	// Name is used in logs.
@@ -32,6 +59,8 @@
 	Target time.Duration
 	// Priority is the rank of the route's requests, 0 first.
 	Priority int
+	// Public says that a request needs no key of an account.
+	Public bool
 	// Split holds the services that share the requests of a route without shards.
 	Split []WeightedService
 	// Shards holds one service for each shard; requests are sent to all of them.
