Stop sending to the upstreams of an evacuated data centre

Operators can request with the store key op/evacuate/NAME that nothing more be sent to a data centre. Nothing read such keys.

The feed lists and watches them; the follower keeps them over outages of the store as it keeps upstreams and publishes them before the routing. The new package restrictor, without I/O, is asked where candidates are formed and again right before a request is written, since an attempt may have waited for a connection. An attempt that is held back fails as restricted: nothing was written, the upstream isn't blamed, and the next one isn't extra load. A service without an upstream that may be sent to counts as one without upstreams; refusals carry the time until one may be.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -135,7 +135,8 @@
 // setFeed creates the follower, which reads routing, upstreams and instances from feed.
 func (x *forwardInstance) setFeed(feed carobbend.Feed) {
 	x.follower = follower.New(feed, follower.Handlers{
-		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances, StoreState: x.relay.SetStoreState,
+		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances, Evacuated: x.forwarder.SetEvacuated,
+		StoreState: x.relay.SetStoreState,
 	})
 	x.enroller.OnFailure(x.follower.Probe)
 	if !x.active.Load() {
@@ -147,7 +148,7 @@
 func (x *forwardInstance) attachMetrics(lines *logger.Async) error {
 	m, err := meter.NewForward(meter.ForwardSources{
 		StoreCalls: x.store.Calls, Connections: x.exchanger.Open, Opened: x.exchanger.Opened,
-		InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
+		DataCentres: x.forwarder.Restrictor.DataCentres, InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
 		Upstreams: func() int64 { return int64(x.upstreams.Size()) },
 		Members:   func() int64 { return int64(x.selector.InstanceCount()) },
 		RoutingVersion: func() int64 {
--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -22,6 +22,8 @@
 // concurrently, since an upstream may reply before it has read them.
 const maxInlineBody = 4096
 
+var errNotPermitted = errors.New("the upstream must not be sent to at the moment")
+
 // Error is the error type of this package.
 type Error struct {
 	Op   string
@@ -146,9 +148,9 @@
 }
 
 // Do sends the request and returns the reply. If its Remainder isn't nil, the caller reads it to the end or closes it. An error
-// is an *Error whose kind is one of: not-sent, no byte was written; canceled, Cancel was called; deadline, the request's
-// deadline passed; identity, only replies to other requests arrived; oversized, the reply exceeded a bound; broken, the
-// connection failed, or the reply was incomplete or malformed.
+// is an *Error whose kind is one of: not-sent, no byte was written; restricted, the same, since Target.Permit denied it;
+// canceled, Cancel was called; deadline, the request's deadline passed; identity, only replies to other requests arrived;
+// oversized, the reply exceeded a bound; broken, the connection failed, or the reply was incomplete or malformed.
 func (a *Attempt) Do(t Target, r *Request) (*Reply, error) {
 	reply, err := a.do(t, r)
 	if err != nil || reply.Remainder == nil {
@@ -202,6 +204,9 @@
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		return nil, false, a.wrapError("send", carobbend.FailureNotSent, err)
 	}
+	if t.Permit != nil && !t.Permit() {
+		return nil, true, a.wrapError("send", carobbend.FailureRestricted, errNotPermitted)
+	}
 	written, err := a.write(c, t, r, left)
 	if err != nil {
 		return nil, false, err
@@ -285,7 +290,7 @@
 	switch {
 	case a.ctx.Err() != nil:
 		kind = carobbend.FailureCanceled
-	case kind == carobbend.FailureNotSent:
+	case kind == carobbend.FailureNotSent, kind == carobbend.FailureRestricted:
 	case isOversized(err):
 		kind = carobbend.FailureOversized
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &ne) && ne.Timeout():
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -45,6 +45,9 @@
 	Address string
 	// MaxConns is the number of connections that this instance may hold to the upstream.
 	MaxConns int
+	// Permit is called right before the request is written. If it returns false, nothing is written and the attempt fails as
+	// restricted. It may be nil.
+	Permit func() bool
 }
 
 const (
--- a/feed.go
+++ b/feed.go
@@ -39,6 +39,8 @@
 	Routing   *Routing
 	Upstreams map[string]UpstreamRecord
 	Instances map[string]Instance
+	// Evacuated holds the data centres whose upstreams must not be sent to.
+	Evacuated []DataCentre
 }
 
 // FeedChange is one change; exactly one of its fields is set.
@@ -49,6 +51,8 @@
 	// RemovedUpstream and RemovedInstance name entries that were removed.
 	RemovedUpstream string
 	RemovedInstance string
+	// Evacuated names a data centre to whose upstreams nothing may be sent, EvacuationEnded one for which this has ended.
+	Evacuated, EvacuationEnded DataCentre
 }
 
 // Enrolment registers an instance in the list of instances under a lease. An error is a *StoreError; its kind not-found
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -13,7 +13,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +64,9 @@
 	Routing   func(*carobbend.Routing) bool
 	Upstreams func(map[string]carobbend.UpstreamRecord)
 	Instances func(map[string]carobbend.Instance)
+	// Evacuated receives the evacuated data centres. It is called before the handlers that receive what was read with them,
+	// and may be nil.
+	Evacuated func([]carobbend.DataCentre)
 	// StoreState receives the revision up to which the feed was followed, before the handlers receive the changes up to
 	// it, and is also called when the store is lost. It may be nil.
 	StoreState func(revision uint64, storeLost bool)
@@ -75,6 +80,9 @@
 
 	upstreams *registrar.Registry[carobbend.UpstreamRecord]
 	instances *registrar.Registry[carobbend.Instance]
+	// evacuated holds the evacuated data centres by name. An evacuation whose end is seen during an outage of the store, or
+	// right after one, stays in force for RemovalGrace: sending nothing for a moment longer is the safe side.
+	evacuated *registrar.Registry[carobbend.DataCentre]
 
 	revision uint64
 	synced   bool
@@ -99,6 +107,7 @@
 		feed: feed, handlers: h, log: logger.New("follower"), storeLost: true,
 		upstreams: registrar.New[carobbend.UpstreamRecord](RemovalGrace),
 		instances: registrar.New[carobbend.Instance](RemovalGrace),
+		evacuated: registrar.New[carobbend.DataCentre](RemovalGrace),
 		wake:      make(chan struct{}, 1),
 	}
 }
@@ -219,7 +228,7 @@
 // nextWatch returns how long the next watch waits for a change, and how long its reply may take beyond that.
 func (f *Follower) nextWatch() (wait, slack time.Duration) {
 	probe := f.probeWanted.Swap(false)
-	held := f.upstreams.HeldRemovals() + f.instances.HeldRemovals()
+	held := f.heldRemovals()
 	switch {
 	case f.scope == carobbend.ScopeAll && (f.storeLost || probe):
 		return probeWait, probeSlack
@@ -232,6 +241,11 @@
 	}
 }
 
+// heldRemovals returns the number of deferred removals.
+func (f *Follower) heldRemovals() int {
+	return f.upstreams.HeldRemovals() + f.instances.HeldRemovals() + f.evacuated.HeldRemovals()
+}
+
 // list reads all entries of the scope and publishes them.
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -244,11 +258,13 @@
 	f.synced, f.revision = true, l.Revision
 	f.recordSuccess(now)
 	if f.scope == carobbend.ScopeAll {
+		f.evacuated.Replace(now, byName(l.Evacuated))
+		f.publishEvacuated()
 		f.upstreams.Replace(now, l.Upstreams)
 	}
 	f.instances.Replace(now, l.Instances)
 	f.log.Info("full state read", "revision", l.Revision, "upstreams", len(l.Upstreams), "instances", len(l.Instances),
-		"removals-held", f.upstreams.HeldRemovals()+f.instances.HeldRemovals())
+		"evacuated", len(l.Evacuated), "removals-held", f.heldRemovals())
 	f.publish(f.scope == carobbend.ScopeAll, true)
 	if l.Routing != nil {
 		// The routing comes last, since requests are served as soon as it is known.
@@ -258,6 +274,7 @@
 }
 
 func (f *Follower) applyChanges(now time.Time, changes []carobbend.FeedChange) {
+	f.applyEvacuations(now, changes)
 	upstreams, instances := false, false
 	for _, c := range changes {
 		switch {
@@ -284,6 +301,38 @@
 	f.publish(upstreams, instances)
 }
 
+// applyEvacuations applies and publishes the changes of evacuated data centres.
+func (f *Follower) applyEvacuations(now time.Time, changes []carobbend.FeedChange) {
+	changed := false
+	for _, c := range changes {
+		switch {
+		case c.Evacuated != "":
+			f.evacuated.Put(string(c.Evacuated), c.Evacuated)
+			changed = true
+		case c.EvacuationEnded != "":
+			changed = f.evacuated.Remove(now, string(c.EvacuationEnded)) || changed
+		}
+	}
+	if len(f.evacuated.Expire(now)) > 0 || changed {
+		f.publishEvacuated()
+	}
+}
+
+func (f *Follower) publishEvacuated() {
+	if f.handlers.Evacuated != nil {
+		f.handlers.Evacuated(slices.Collect(maps.Values(f.evacuated.All())))
+	}
+}
+
+// byName returns a list of data centres as a map.
+func byName(dcs []carobbend.DataCentre) map[string]carobbend.DataCentre {
+	m := make(map[string]carobbend.DataCentre, len(dcs))
+	for _, dc := range dcs {
+		m[string(dc)] = dc
+	}
+	return m
+}
+
 func (f *Follower) publish(upstreams, instances bool) {
 	if upstreams {
 		f.handlers.Upstreams(f.upstreams.All())
@@ -308,6 +357,7 @@
 	}
 	f.storeLost = false
 	f.upstreams.StoreRegained(now)
+	f.evacuated.StoreRegained(now)
 	f.instances.StoreRegained(now)
 	f.log.Info("store reachable", "away-ms", sinceMs(now, f.storeLostAt), "revision", f.revision)
 }
@@ -323,6 +373,7 @@
 	if !f.storeLost {
 		f.storeLost, f.storeLostAt = true, now
 		f.upstreams.StoreLost(now)
+		f.evacuated.StoreLost(now)
 		f.instances.StoreLost(now)
 		f.log.Error(err, "store unreachable", "revision", f.revision)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,6 +32,7 @@
 	"carobbend.example/carobbend/hedger"
 	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/logger"
+	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/router"
 	"carobbend.example/carobbend/scatterer"
 	"carobbend.example/carobbend/timekeeper"
@@ -94,6 +95,8 @@
 	Upstreams *UpstreamSet
 	Balancer  *balancer.Balancer
 	Exchanger *exchanger.Exchanger
+	// Restrictor says which upstreams must not be sent to at the moment; nil means that there are none.
+	Restrictor *restrictor.Restrictor
 	// RetryBudget bounds hedges and retries by service.
 	RetryBudget *hedger.WindowBudget
 	// Hedger determines hedge delays from the latency of attempts by route.
@@ -132,16 +135,19 @@
 	f := &Forwarder{
 		Config: cfg, upstreams: cfg.Upstreams, instances: cfg.Instances, log: newRequestLog(logger.New("forwarder")),
 		stopped: make(chan struct{}),
-		scatterer: scatterer.New(scatterer.Config{
-			Balancer: cfg.Balancer, RetryBudget: cfg.RetryBudget, Hedger: cfg.Hedger, Candidates: cfg.Upstreams.Candidates,
-		}),
 	}
+	f.scatterer = scatterer.New(scatterer.Config{
+		Balancer: cfg.Balancer, RetryBudget: cfg.RetryBudget, Hedger: cfg.Hedger, Candidates: f.candidates,
+	})
 	if f.instances == nil {
 		f.instances = func() int { return 1 }
 	}
 	if f.Suspended == nil {
 		f.Suspended = timekeeper.Suspended
 	}
+	if f.Restrictor == nil {
+		f.Restrictor = &restrictor.Restrictor{}
+	}
 	if f.Memory == nil {
 		f.Memory = &limiter.Bytes{}
 	}
@@ -224,7 +230,8 @@
 	}
 	f.RetryBudget.Requested(q.began, q.services...)
 	if shortage := f.missingServices(q); shortage != "" {
-		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, shortage, retryAfter}
+		after := max(f.untilServable(q.services, q.minCoverage()), retryAfter)
+		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, shortage, after}
 	}
 	q.deadline = q.began.Add(timeLeft(r.Header.Get(f.Headers.Deadline), route.Timeout))
 	reservation, ok := f.Memory.Reserve(requestBytes + int64(len(q.services))*shardBytes)
@@ -249,12 +256,12 @@
 	return nil
 }
 
-// missingServices returns the reason for a refusal if too few services of the route have an upstream for the minimum coverage,
-// or "".
+// missingServices returns the reason for a refusal if too few services of the route have an upstream that may be sent to for the
+// minimum coverage, or "".
 func (f *Forwarder) missingServices(q *query) string {
 	n := 0
 	for _, s := range q.services {
-		if len(f.upstreams.Candidates(s)) > 0 {
+		if len(f.candidates(s)) > 0 {
 			n++
 		}
 	}
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -76,6 +76,14 @@
 // isFanOut reports whether the answer is combined from shards.
 func (q *query) isFanOut() bool { return len(q.route.Shards) > 0 }
 
+// minCoverage returns the minimum share of services of an answer.
+func (q *query) minCoverage() float64 {
+	if q.isFanOut() {
+		return q.route.MinCoverage
+	}
+	return 1
+}
+
 // serve sends the request to upstreams until the gather ends, and answers the caller.
 func (q *query) serve(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(r.Context())
@@ -188,7 +196,7 @@
 		return
 	}
 	s, _ := q.table.Service(q.services[spec.Shard])
-	t, known := q.f.target(a.Upstream(), s.MaxConns)
+	t, record, known := q.f.target(a.Upstream(), s.MaxConns)
 	if !known {
 		// The upstream left the set after it was chosen, which is no failure of it.
 		a.Finished(now, carobbend.FailureCanceled, -1)
@@ -197,9 +205,10 @@
 	}
 	exchange := q.f.Exchanger.Attempt(ctx)
 	q.openAttempts[exchange] = struct{}{}
-	request := q.request
+	request, permission := q.request, q.f.newPermission(record, &t)
 	go func() {
 		reply, err := exchange.Do(t, request)
+		permission.finished()
 		q.results <- q.finishAttempt(a, exchange, reply, err)
 	}()
 }
@@ -218,7 +227,12 @@
 			load = reply.Load.Utilization()
 		}
 	}
-	a.Finished(time.Now(), kind, load)
+	observed := kind
+	if kind == carobbend.FailureRestricted {
+		// This instance held the request back, which says nothing about the upstream.
+		observed = carobbend.FailureCanceled
+	}
+	a.Finished(time.Now(), observed, load)
 	if q.f.Recorder != nil {
 		q.f.Recorder.Attempted(a.Kind(), kind)
 	}
@@ -359,7 +373,8 @@
 func (q *query) fail(ctx context.Context, w http.ResponseWriter, reason gatherer.Reason) {
 	switch {
 	case q.scatter.Runs() == 0:
-		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", retryAfter})
+		after := max(q.f.untilServable(q.services, q.minCoverage()), retryAfter)
+		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", after})
 	case !q.isFanOut() && q.upstreamFailure != nil:
 		q.outcome = OutcomeUpstream
 		q.relay(ctx, w, q.upstreamFailure)
--- /dev/null
+++ b/forwarder/restrictions.go
@@ -0,0 +1,91 @@
+package forwarder
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/restrictor"
+)
+
+// coverageTolerance keeps a coverage that is a whole number of shards from being rounded up to the next one.
+const coverageTolerance = 1e-9
+
+// SetEvacuated replaces the evacuated data centres. Once it returns, no request is sent there any more; those in flight end
+// normally.
+func (f *Forwarder) SetEvacuated(dcs []carobbend.DataCentre) {
+	begun, ended := f.Restrictor.SetEvacuated(dcs)
+	for _, e := range begun {
+		f.log.log.Info("evacuation requested", "data-centre", e.DataCentre, "in-flight", e.InFlight)
+		if e.InFlight == 0 {
+			f.logDrained(e.DataCentre)
+		}
+	}
+	for _, e := range ended {
+		f.log.log.Info("evacuation ended", "data-centre", e.DataCentre, "in-flight", e.InFlight)
+	}
+}
+
+func (f *Forwarder) logDrained(dc carobbend.DataCentre) {
+	f.log.log.Info("evacuation in effect, no request is in flight there", "data-centre", dc)
+}
+
+// restrictionTime returns the time that the restrictor is given, which includes the time for which the machine was suspended.
+// It is zero while there is no restriction, to which the time doesn't matter: reading the suspension takes system calls.
+func (f *Forwarder) restrictionTime() time.Time {
+	if !f.Restrictor.Active() {
+		return time.Time{}
+	}
+	return time.Now().Add(f.Suspended())
+}
+
+// candidates returns the upstreams of a service that take new work and may be sent to.
+func (f *Forwarder) candidates(service string) []carobbend.UpstreamID {
+	return f.Restrictor.Filter(f.restrictionTime(), f.upstreams.Candidates(service), f.upstreams.Record)
+}
+
+// permission asks the restrictor about one attempt right before its request is written.
+type permission struct {
+	f       *Forwarder
+	record  carobbend.UpstreamRecord
+	granted bool
+}
+
+// newPermission returns the permission of an attempt to an upstream and sets it in its target.
+func (f *Forwarder) newPermission(u carobbend.UpstreamRecord, t *exchanger.Target) *permission {
+	p := &permission{f: f, record: u}
+	t.Permit = p.ask
+	return p
+}
+
+func (p *permission) ask() bool {
+	p.granted = p.f.Restrictor.Permit(p.f.restrictionTime(), p.record) == restrictor.None
+	return p.granted
+}
+
+// finished records the end of the attempt.
+func (p *permission) finished() {
+	if p.granted && p.f.Restrictor.Finished(p.record) {
+		p.f.logDrained(p.record.DataCentre)
+	}
+}
+
+// untilServable returns the time after which enough services are expected to have an upstream that may be sent to for the
+// minimum coverage; 0 if they have now. Services without any upstream count with retryAfter, since nothing is known of them.
+func (f *Forwarder) untilServable(services []string, minCoverage float64) time.Duration {
+	now := f.restrictionTime()
+	waits := make([]time.Duration, 0, len(services))
+	for _, s := range services {
+		ids := f.upstreams.Candidates(s)
+		wait := f.Restrictor.RetryAfter(now, ids, f.upstreams.Record)
+		if len(ids) == 0 {
+			wait = retryAfter
+		}
+		waits = append(waits, wait)
+	}
+	slices.Sort(waits)
+	need := int(math.Ceil(float64(len(services))*minCoverage - coverageTolerance))
+	return waits[min(max(need, 1), len(waits))-1]
+}
--- a/forwarder/upstreamset.go
+++ b/forwarder/upstreamset.go
@@ -94,15 +94,15 @@
 	return 0
 }
 
-// target returns the address of an upstream and the number of connections that this instance may hold to it.
-func (f *Forwarder) target(id carobbend.UpstreamID, maxConns int) (exchanger.Target, bool) {
+// target returns the address of an upstream and the number of connections that this instance may hold to it, and its record.
+func (f *Forwarder) target(id carobbend.UpstreamID, maxConns int) (exchanger.Target, carobbend.UpstreamRecord, bool) {
 	r, ok := f.upstreams.Record(id)
 	if !ok {
-		return exchanger.Target{}, false
+		return exchanger.Target{}, r, false
 	}
 	share := unboundedConns
 	if maxConns > 0 {
 		share = limiter.ConnShare(maxConns, max(f.instances(), 1))
 	}
-	return exchanger.Target{ID: id, Address: r.Address, MaxConns: share}, true
+	return exchanger.Target{ID: id, Address: r.Address, MaxConns: share}, r, true
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -121,9 +121,9 @@
 	open int
 	// sentAt is the time of the last attempt.
 	sentAt time.Time
-	// runs counts the attempts that may have run, attempts all of them.
-	runs, attempts int
-	hedgeAt        time.Time
+	// runs counts the attempts that may have run, sends those that weren't held back by a restriction, attempts all of them.
+	runs, sends, attempts int
+	hedgeAt               time.Time
 }
 
 // Gather is the state of one request.
@@ -165,6 +165,7 @@
 	s := &g.shards[i]
 	s.open++
 	s.runs++
+	s.sends++
 	s.attempts++
 	s.shed, s.sentAt = false, now
 	if s.attempts == 1 && g.plan.HedgeDelay > 0 && g.plan.Repeatable {
@@ -306,10 +307,14 @@
 func (g *Gather) Failed(i int, kind carobbend.FailureKind) {
 	s := &g.shards[i]
 	s.open--
-	notRun := kind == carobbend.FailureNotSent || kind == carobbend.FailureShed || kind == carobbend.FailureLeaving
+	restricted := kind == carobbend.FailureRestricted
+	notRun := kind == carobbend.FailureNotSent || kind == carobbend.FailureShed || kind == carobbend.FailureLeaving || restricted
 	if notRun {
 		s.runs--
 	}
+	if restricted {
+		s.sends--
+	}
 	if s.covered || s.lost || s.open > 0 {
 		return
 	}
@@ -319,7 +324,8 @@
 		return
 	}
 	s.shed = kind == carobbend.FailureShed
-	g.pending = append(g.pending, AttemptSpec{Shard: i, AfterShed: s.shed})
+	// The attempt after one that was held back is the first that any upstream gets, so it isn't extra load.
+	g.pending = append(g.pending, AttemptSpec{Shard: i, First: s.sends == 0, AfterShed: s.shed})
 }
 
 // setShortfalls sets Shortfall on as many pending retries after sheds, in order, as the answer needs for the minimum coverage.
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -345,3 +345,34 @@
 		t.Errorf("after that was denied: got %v, want the postponed retry of shard 0", step.Launch)
 	}
 }
+
+// TestRestrictedAttemptIsNotExtra guards against a first request that is denied by the retry budget, because an attempt before
+// it was held back and reached no upstream; and against attempts without end if each is held back.
+func TestRestrictedAttemptIsNotExtra(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := New(Plan{Shards: 1, MinCoverage: 1, Attempts: 2, Deadline: now.Add(time.Second)})
+	attempts := 0
+	for step := (Step{Launch: []AttemptSpec{{First: true}}}); step.Action != Fail; step = g.Next(now) {
+		if len(step.Launch) != 1 || !step.Launch[0].First {
+			t.Fatalf("attempt %d: got %+v, want a first one", attempts, step.Launch)
+		}
+		g.Sent(0, now)
+		attempts++
+		g.Failed(0, carobbend.FailureRestricted)
+		if g.Runs() != 0 {
+			t.Fatalf("runs: got %d, want 0", g.Runs())
+		}
+	}
+	if want := (Plan{Attempts: 2}).MaxAttempts(); attempts != want {
+		t.Errorf("attempts: got %d, want %d", attempts, want)
+	}
+	g = New(Plan{Shards: 1, MinCoverage: 1, Attempts: 2, Repeatable: true, Deadline: now.Add(time.Second)})
+	g.Sent(0, now)
+	g.Failed(0, carobbend.FailureBroken)
+	g.Next(now)
+	g.Sent(0, now)
+	g.Failed(0, carobbend.FailureRestricted)
+	if got := g.Next(now).Launch; len(got) != 1 || got[0].First {
+		t.Errorf("after a failure: got %+v, want one extra attempt", got)
+	}
+}
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -13,6 +13,7 @@
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/forwarder"
+	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/scatterer"
 )
 
@@ -27,6 +28,8 @@
 	Members        func() int64
 	DroppedLines   func() int64
 	Ready          func() bool
+	// DataCentres returns the data centres to which requests are sent or that are evacuated.
+	DataCentres func() []restrictor.DataCentreStatus
 }
 
 // Forward records the events of a forwarding instance. It implements forwarder.Recorder and is safe for concurrent
@@ -62,6 +65,7 @@
 	b.observableCounter("carobbend_store_calls", "Calls to the store; a watch is one call.", src.StoreCalls)
 	b.observableCounter("carobbend_log_lines_dropped", "Log lines dropped since the output was too slow.", src.DroppedLines)
 	b.observableFlag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
+	b.observeDataCentres(src.DataCentres)
 	b.observeBreaches()
 	if b.err != nil {
 		return nil, &Error{Op: "new instrument", Err: b.err}
@@ -101,3 +105,26 @@
 	})
 	m.attempts.Add(context.Background(), 1, o.add...)
 }
+
+// observeDataCentres registers the gauges of data centres.
+func (b *builder) observeDataCentres(f func() []restrictor.DataCentreStatus) {
+	if f == nil {
+		return
+	}
+	b.observableGauges("carobbend_data_centre_evacuated", "1 while nothing may be sent to the upstreams there.",
+		func(observe func(value int64, attrs ...attribute.KeyValue)) {
+			for _, d := range f() {
+				v := int64(0)
+				if d.Evacuated {
+					v = 1
+				}
+				observe(v, attribute.String("data_centre", string(d.Name)))
+			}
+		})
+	b.observableGauges("carobbend_data_centre_requests_in_flight", "Requests to upstreams there that have no reply yet.",
+		func(observe func(value int64, attrs ...attribute.KeyValue)) {
+			for _, d := range f() {
+				observe(int64(d.InFlight), attribute.String("data_centre", string(d.Name)))
+			}
+		})
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -227,6 +227,16 @@
 	b.setErr(err)
 }
 
+// observableGauges registers a gauge with one value for each set of attributes; f calls observe for each of them.
+func (b *builder) observableGauges(name, help string, f func(observe func(value int64, attrs ...attribute.KeyValue))) {
+	_, err := b.meter.Int64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			f(func(value int64, attrs ...attribute.KeyValue) { o.Observe(value, metric.WithAttributes(attrs...)) })
+			return nil
+		}))
+	b.setErr(err)
+}
+
 // observableFlag registers a gauge that is 1 while f returns true, else 0.
 func (b *builder) observableFlag(name, help string, f func() bool) {
 	if f == nil {
--- a/upstream.go
+++ b/upstream.go
@@ -107,6 +107,8 @@
 	FailureSnapshotGone FailureKind = "snapshot-gone"
 	// FailureNotSent says that no byte of the request was written.
 	FailureNotSent FailureKind = "not-sent"
+	// FailureRestricted says that no byte of the request was written, since the upstream must not be sent to at the moment.
+	FailureRestricted FailureKind = "restricted"
 	// FailureSilent says that the connection made no progress and was taken out of use.
 	FailureSilent FailureKind = "silent"
 	// FailureBroken says that the connection or the reply broke.
