--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -13,7 +13,8 @@
 func (q *query) fail(ctx context.Context, w http.ResponseWriter, reason gatherer.Reason) {
 	switch {
 	case q.scatter.Runs() == 0:
-		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", retryAfter})
+		after := max(q.f.untilServable(q.services, q.minCoverage()), retryAfter)
+		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", after})
 	case !q.isFanOut() && q.upstreamFailure != nil && q.mayRelay(q.upstreamFailure):
 		q.outcome = OutcomeUpstream
 		q.relay(ctx, w, q.upstreamFailure)
