Count a 421 from another upstream as not run again

An upstream that took over an address answers 421 with X-Instance-Id alone and doesn't run requests that name the former one, so that such a request on a route that may run once would have failed instead of being sent elsewhere. A 421 whose X-Instance-Id names another upstream counts as not run; any other unmarked one still guarantees nothing. TestRefusals covers all six replies.

--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -224,7 +224,7 @@
 			return false
 		}
 	}
-	reply := a.x.reply(m)
+	reply := a.x.reply(m, t.ID)
 	body, complete, err := c.readBody(m, r, a.x.maxReply)
 	if err != nil {
 		return nil, false, a.wrapError("read reply", carobbend.FailureBroken, err)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -33,8 +33,11 @@
 	Deadline string
 	// Upstream names the target upstream; any other one refuses with StatusMisdirected.
 	Upstream string
-	// NotRun is present in a reply to a request that the upstream didn't run. Nothing else states that, no status either.
+	// NotRun is present in a reply to a request that the upstream didn't run. No status states that by itself, except for
+	// StatusMisdirected from an upstream that names itself as another one.
 	NotRun string
+	// Identity names the upstream that replies.
+	Identity string
 	// Load holds the upstream's running requests, waiting requests and slots, separated by commas.
 	Load string
 }
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -21,7 +21,7 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 var testHeaders = Headers{
-	RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load",
+	RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", NotRun: "X-Not-Run", Identity: "X-Self", Load: "X-Load",
 }
 
 // upstream is a server whose replies are written by the test.
@@ -239,15 +239,21 @@
 			reply(w, r, StatusMisdirected, "", "X-Not-Run: 1\r\n")
 		case "full":
 			reply(w, r, 503, "", "X-Not-Run: 1\r\n")
+		case "moved to another":
+			reply(w, r, StatusMisdirected, "", "X-Self: up-9\r\n")
 		case "moved, unmarked":
 			reply(w, r, StatusMisdirected, "")
+		case "moved, named itself":
+			reply(w, r, StatusMisdirected, "", "X-Self: "+r.Header.Get("X-Upstream")+"\r\n")
 		case "full, unmarked":
 			reply(w, r, 503, "")
 		}
 		return true
 	})
 	x := newExchanger(t)
-	for id, want := range map[string]bool{"moved": true, "full": true, "moved, unmarked": false, "full, unmarked": false} {
+	for id, want := range map[string]bool{
+		"moved": true, "full": true, "moved to another": true, "moved, unmarked": false, "moved, named itself": false, "full, unmarked": false,
+	} {
 		got, err := do(x, u, request(id))
 		if err != nil || got.NotRun != want {
 			t.Errorf("%s: got %+v, %v, want a reply with NotRun %v", id, got, err, want)
--- a/exchanger/reply.go
+++ b/exchanger/reply.go
@@ -157,10 +157,13 @@
 	return nil
 }
 
-// reply returns the reply of a message without its body.
-func (x *Exchanger) reply(m message) *Reply {
+// reply returns the reply of a message to a request that names the given upstream, without its body.
+func (x *Exchanger) reply(m message, id carobbend.UpstreamID) *Reply {
 	r := &Reply{Status: m.StatusCode, Header: m.Header, Length: m.ContentLength}
-	r.NotRun = m.Header.Get(x.headers.NotRun) != ""
+	identity := m.Header.Get(x.headers.Identity)
+	// An address may belong to another upstream by now, which doesn't run requests that name the former one.
+	misdirected := m.StatusCode == StatusMisdirected && identity != "" && identity != string(id)
+	r.NotRun = misdirected || m.Header.Get(x.headers.NotRun) != ""
 	r.Load, r.HasLoad = parseLoad(m.Header.Get(x.headers.Load))
 	return r
 }
