forwarder: begin the evacuation of a test once a request is in flight

TestEvacuationStopsWaitingRequest failed in 3 of 30 runs beside load: the evacuation could begin before the first request was written, so that both were held back.

--- a/forwarder/restrictions_test.go
+++ b/forwarder/restrictions_test.go
@@ -61,8 +61,9 @@
 		chosen <- struct{}{}
 		return 1
 	}
-	release := make(chan struct{})
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
 	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
 		<-release
 		proof(w, r)
 	})
@@ -78,6 +79,8 @@
 		})
 		<-chosen
 	}
+	// The evacuation begins with one request in flight; the other one waits for its connection.
+	<-arrived
 	tr.upstream(t, "a", "a2", "", proof)
 	tr.place("a2", "z2")
 	tr.SetEvacuated([]carobbend.DataCentre{"z1"})
