Let only as many of the largest instances serve as suffice, and return others to the reserve

On a fleet of 23 instances of 0.45 to 0.8 cores all served, since all count as large. Each learned about upstreams from two requests a second, and each followed the store. Address answers now name the largest ones that suffice, at least two of each data centre; the others return to the reserve once no caller has their address, or begin there at the first start of the system. On the other deployments all large instances have the same capacity, so that the same ones serve as before.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -74,13 +74,22 @@
 	draining chan struct{}
 	// suspensionDetector detects that the machine was suspended while no request arrived.
 	suspensionDetector timekeeper.SuspensionDetector
-	// active is set while this instance serves rather than being in reserve.
-	active atomic.Bool
-	// routingReady is closed once a routing configuration is in force.
-	routingReady     chan struct{}
-	routingReadyOnce sync.Once
+	// active is set while this instance serves rather than being in reserve, retiring while it still serves and is about to
+	// return to the reserve.
+	active, retiring atomic.Bool
+	// storeLost is set while the store can't be read.
+	storeLost atomic.Bool
 
 	mu sync.Mutex
+	// routingReady is closed once a routing configuration is in force; routingKnown says that it is.
+	routingReady chan struct{}
+	routingKnown bool
+	// retirement decides when this instance returns to the reserve; retired is set once it has, and where
+	// it begins there although it is large.
+	retirement steerer.Retirement
+	retired    bool
+	// requestsBefore is the number of requests that callers had sent when this instance last returned to the reserve.
+	requestsBefore int64
 	// lastInstances is the last instance list that was read in reserve. activationPending is set while a delayed second
 	// check of it is scheduled.
 	lastInstances     map[string]carobbend.Instance
@@ -117,7 +126,9 @@
 	x.store = platform.NewStore(cfg.Store)
 	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
 	x.selector.SetSelf(x.self, false)
-	if steerer.NeedOf(x.self, nil) == steerer.NeedNow && steerer.Delay(x.self, steerer.NeedNow, 0) == 0 {
+	if steerer.StartsInReserve(x.self, cfg.FirstStart) {
+		x.retired = true
+	} else if steerer.NeedOf(x.self, nil) == steerer.NeedNow && steerer.Delay(x.self, steerer.NeedNow, 0) == 0 {
 		x.active.Store(true)
 		x.activeSince = time.Now()
 	}
@@ -136,7 +147,7 @@
 func (x *forwardInstance) setFeed(feed carobbend.Feed) {
 	x.follower = follower.New(feed, follower.Handlers{
 		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances, Evacuated: x.forwarder.SetEvacuated,
-		StoreState: x.relay.SetStoreState,
+		StoreState: x.setStoreState,
 	})
 	x.enroller.OnFailure(x.follower.Probe)
 	if !x.active.Load() {
@@ -184,9 +195,16 @@
 }
 
 func (x *forwardInstance) applyRouting(r *carobbend.Routing) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.retired {
+		// Read just before this instance returned to the reserve, where nothing would replace it.
+		return false
+	}
 	ok := x.router.Apply(r)
-	if ok {
-		x.routingReadyOnce.Do(func() { close(x.routingReady) })
+	if ok && !x.routingKnown {
+		x.routingKnown = true
+		close(x.routingReady)
 	}
 	if ok && !x.isDraining() {
 		x.selector.SetSelf(x.self, true)
@@ -247,7 +265,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.lastInstances = instances
-	need := steerer.NeedOf(x.self, instances)
+	need := x.need(instances)
 	confirming := x.confirmActivation
 	x.confirmActivation = false
 	switch {
@@ -258,11 +276,15 @@
 		return
 	}
 	x.activationPending = true
-	time.AfterFunc(steerer.Delay(x.self, need, rand.Float64()), func() {
+	delay := steerer.Delay(x.self, need, rand.Float64())
+	if x.retired {
+		delay = steerer.ReactivationDelay(need, rand.Float64())
+	}
+	time.AfterFunc(delay, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.activationPending = false
-		if steerer.NeedOf(x.self, x.lastInstances) == steerer.NeedNone || x.active.Load() || x.isDraining() {
+		if x.need(x.lastInstances) == steerer.NeedNone || x.active.Load() || x.isDraining() {
 			return
 		}
 		x.confirmActivation = true
@@ -277,6 +299,7 @@
 	}
 	x.log.Info("activated from reserve", "reason", reason, "enrolled", len(x.lastInstances))
 	x.activeSince = time.Now()
+	x.retired = false
 	x.active.Store(true)
 	x.follower.SetScope(carobbend.ScopeAll)
 }
@@ -287,7 +310,7 @@
 func (x *forwardInstance) awaitRouting(ctx context.Context) {
 	x.mu.Lock()
 	x.activate("asked by a caller")
-	since := x.activeSince
+	since, routingReady := x.activeSince, x.routingReady
 	x.mu.Unlock()
 	if time.Since(since) > routingWaitWindow {
 		// The store doesn't answer; waiting would only delay the refusal.
@@ -296,7 +319,7 @@
 	t := time.NewTimer(routingWaitTimeout)
 	defer t.Stop()
 	select {
-	case <-x.routingReady:
+	case <-routingReady:
 	case <-t.C:
 	case <-ctx.Done():
 	}
@@ -312,4 +335,6 @@
 }
 
 // ready reports whether callers may be sent here.
-func (x *forwardInstance) ready() bool { return x.router.Table() != nil && !x.isDraining() }
+func (x *forwardInstance) ready() bool {
+	return x.router.Table() != nil && !x.isDraining() && !x.retiring.Load()
+}
--- a/cmd/carobbend/processorload.go
+++ b/cmd/carobbend/processorload.go
@@ -42,6 +42,7 @@
 		if lost := x.suspensionDetector.Detect(timekeeper.Suspended()); lost > 0 {
 			x.onResume(lost)
 		}
+		x.retireIfLeftOut(ctx, time.Now())
 		if x.cfg.Cores == 0 {
 			continue
 		}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -10,6 +10,7 @@
 //	go e.Run(ctx)
 //	e.Enable()     // the instance can serve
 //	e.Reannounce() // the entry is no longer in the list
+//	e.Disable(ctx) // the instance doesn't serve until the next Enable
 //	e.Withdraw(ctx)
 package enroller
 
@@ -42,6 +43,7 @@
 	reannounce chan struct{}
 	enabled    chan struct{}
 	enable     sync.Once
+	disabled   atomic.Bool
 	withdrawn  atomic.Bool
 	onFailure  func()
 
@@ -61,7 +63,19 @@
 func (e *Enroller) OnFailure(f func()) { e.onFailure = f }
 
 // Enable lets Run announce the instance; until then nothing is written.
-func (e *Enroller) Enable() { e.enable.Do(func() { close(e.enabled) }) }
+func (e *Enroller) Enable() {
+	e.enable.Do(func() { close(e.enabled) })
+	if e.disabled.Swap(false) {
+		e.Reannounce()
+	}
+}
+
+// Disable removes the instance from the list until Enable is called again. If the removal fails, the entry disappears when
+// the lease expires.
+func (e *Enroller) Disable(ctx context.Context) error {
+	e.disabled.Store(true)
+	return e.endLease(ctx)
+}
 
 // Update changes the instance's announced state and announces it again.
 func (e *Enroller) Update(self carobbend.Instance) {
@@ -108,6 +122,11 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
+		if e.disabled.Load() {
+			announced = false
+			timer.Reset(e.ttl)
+			continue
+		}
 		err := e.announceOrRenew(ctx, announced)
 		pause := e.ttl / renewalsPerTTL
 		switch {
@@ -151,6 +170,10 @@
 // when the lease expires.
 func (e *Enroller) Withdraw(ctx context.Context) error {
 	e.withdrawn.Store(true)
+	return e.endLease(ctx)
+}
+
+func (e *Enroller) endLease(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return e.enrolment.Withdraw(ctx)
--- a/forwarder/decide.go
+++ b/forwarder/decide.go
@@ -37,7 +37,8 @@
 // may have been withdrawn or moved meanwhile. It must be called before the first attempt.
 func (q *query) decideAgain(h http.Header, host, path string) *refusal {
 	t := q.f.Router.Table()
-	if t == q.table {
+	if t == q.table || t == nil {
+		// Without a table this instance has just returned to the reserve, and the request's own one is the newest known.
 		return nil
 	}
 	shards := len(q.services)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -135,6 +135,7 @@
 	refusing           atomic.Bool
 	stopped            chan struct{}
 	inFlight           atomic.Int64
+	requests           atomic.Int64
 	scatterer          *scatterer.Scatterer
 	suspensionDetector timekeeper.SuspensionDetector
 }
@@ -175,8 +176,12 @@
 // InFlight returns the number of requests being served.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
+// Requests returns the number of requests that callers have sent.
+func (f *Forwarder) Requests() int64 { return f.requests.Load() }
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.requests.Add(1)
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	began := time.Now()
--- a/router/router.go
+++ b/router/router.go
@@ -27,9 +27,12 @@
 type Router struct {
 	mu    sync.Mutex
 	table atomic.Pointer[Table]
+	// suspended is the table that Suspend dropped.
+	suspended *Table
 }
 
-// Apply replaces the table if the routing has a higher version than the current one, and reports whether it did.
+// Apply replaces the table if the routing has a higher version than the current one, and reports whether it did. After Suspend,
+// the version that was dropped is accepted, too.
 func (r *Router) Apply(routing *carobbend.Routing) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -37,11 +40,27 @@
 	if old != nil && routing.Version <= old.version {
 		return false
 	}
+	if r.suspended != nil {
+		if routing.Version < r.suspended.version {
+			return false
+		}
+		old, r.suspended = r.suspended, nil
+	}
 	r.table.Store(newTable(routing, old))
 	return true
 }
 
-// Table returns the current table, nil before the first Apply.
+// Suspend drops the current table, since it is no longer kept up to date. Versions never go back: the next table has at least
+// the version of the dropped one.
+func (r *Router) Suspend() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.table.Swap(nil); t != nil {
+		r.suspended = t
+	}
+}
+
+// Table returns the current table, nil before the first Apply and after Suspend.
 func (r *Router) Table() *Table { return r.table.Load() }
 
 // Table is one version of the routes.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -102,3 +102,25 @@
 		})
 	}
 }
+
+// TestSuspend guards against a router that goes back to an older version after it was suspended, and against one that doesn't
+// accept the version that it dropped.
+func TestSuspend(t *testing.T) {
+	var r Router
+	r.Suspend()
+	r.Apply(&carobbend.Routing{Version: 5})
+	r.Suspend()
+	r.Suspend()
+	if r.Table() != nil {
+		t.Error("after Suspend: got a table, want none")
+	}
+	if r.Apply(&carobbend.Routing{Version: 4}) {
+		t.Error("got version 4 accepted after version 5")
+	}
+	if !r.Apply(&carobbend.Routing{Version: 5}) || r.Table().Version() != 5 {
+		t.Error("got version 5 refused after it was dropped, want it accepted")
+	}
+	if r.Apply(&carobbend.Routing{Version: 5}) {
+		t.Error("got version 5 accepted twice")
+	}
+}
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -26,6 +26,8 @@
 	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
 	// ExtraLoad bounds hedges and retries.
 	ExtraLoad ForwardExtraLoad `yaml:"extra-load"`
+	// FirstStart says that the whole system starts for the first time, so that no callers wait for it yet.
+	FirstStart bool `yaml:"first-start"`
 }
 
 // ForwardListen holds IP addresses with ports.
--- a/steerer/reserve.go
+++ b/steerer/reserve.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -13,6 +14,9 @@
 	// stay in reserve while the others suffice: they receive too few requests to learn much about upstreams, and each
 	// one costs store calls and connections.
 	largeCapacity = 0.4
+	// firstStartCapacity replaces largeCapacity at the first start of the whole system, where callers come later: smaller ones
+	// first see whether larger ones enrol.
+	firstStartCapacity = 0.6
 	// enoughCapacity is the capacity, in cores, and enoughInstances the number of instances that suffice while most
 	// of the capacity is idle.
 	enoughCapacity  = 2.4
@@ -54,6 +58,12 @@
 // isLarge reports whether an instance serves as soon as it starts. An instance of unknown capacity counts as large.
 func isLarge(x carobbend.Instance) bool { return x.Capacity == 0 || x.Capacity >= largeCapacity }
 
+// StartsInReserve reports whether a large instance starts in the reserve, from where it serves as soon as larger ones don't
+// suffice.
+func StartsInReserve(self carobbend.Instance, firstStart bool) bool {
+	return firstStart && isLarge(self) && self.Capacity > 0 && self.Capacity < firstStartCapacity
+}
+
 // needGiven returns the need for further instances given those that serve.
 func needGiven(serving []carobbend.Instance) Need {
 	sum, busy, n := 0.0, 0.0, 0
@@ -102,6 +112,36 @@
 	return unknown
 }
 
+// largestSufficient returns the large instances down to the capacity from which these suffice, or all instances if they don't. The
+// fewer instances serve, the more each one learns about the upstreams from its own requests. Where a data centre has large
+// instances, enoughInDataCentre of them are kept, so that its callers aren't sent to another one.
+func largestSufficient(all []carobbend.Instance) []carobbend.Instance {
+	unknown := unknownCapacity(all)
+	large := slices.DeleteFunc(slices.Clone(all), func(x carobbend.Instance) bool { return !isLarge(x) })
+	slices.SortStableFunc(large, func(a, b carobbend.Instance) int {
+		return cmp.Compare(capacityOf(b, unknown), capacityOf(a, unknown))
+	})
+	wanted := map[carobbend.DataCentre]int{}
+	for _, x := range large {
+		wanted[x.DataCentre] = min(wanted[x.DataCentre]+1, enoughInDataCentre)
+	}
+	missing := 0
+	for _, n := range wanted {
+		missing += n
+	}
+	for i, x := range large {
+		if wanted[x.DataCentre] > 0 {
+			wanted[x.DataCentre]--
+			missing--
+		}
+		last := i == len(large)-1 || capacityOf(large[i+1], unknown) < capacityOf(x, unknown)
+		if last && missing == 0 && needGiven(large[:i+1]) == NeedNone {
+			return large[:i+1]
+		}
+	}
+	return all
+}
+
 // Delay returns how long an instance waits for others to enrol before it checks again whether it is needed. random is
 // a number drawn from 0 to 1 that spreads the enrolment of instances in reserve.
 func Delay(self carobbend.Instance, need Need, random float64) time.Duration {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -145,8 +145,15 @@
 	return c
 }
 
-// eligible returns the instances that callers may use: only the large ones if these suffice, else all. So callers
-// leave the small instances, which served while large ones were missing.
+// LeftOut reports whether answers leave this instance out although it can serve, because larger ones suffice.
+func (s *Selector) LeftOut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ready && !slices.ContainsFunc(s.eligible(), func(x carobbend.Instance) bool { return x.Name == s.self.Name })
+}
+
+// eligible returns the instances that callers may use: the largest ones if these suffice, else all. So callers leave the
+// smaller instances, which served while larger ones were missing.
 func (s *Selector) eligible() []carobbend.Instance {
 	all := make([]carobbend.Instance, 0, len(s.instances)+1)
 	if s.ready {
@@ -157,14 +164,5 @@
 			all = append(all, x)
 		}
 	}
-	large := make([]carobbend.Instance, 0, len(all))
-	for _, x := range all {
-		if isLarge(x) {
-			large = append(large, x)
-		}
-	}
-	if needGiven(large) == NeedNone {
-		return large
-	}
-	return all
+	return largestSufficient(all)
 }
