platform, registrar: accept only entries that follow from the upstream's own

platform now decodes all fields strictly, among them warmup_left_ms and sequence, and names the entries that it can't use, also in a listing, where a missing id counts as removed. Entries of the routing and of instances are checked alike: a routing without a version, routes, services or limits, or with a route that names no service, is not put in force; the peer address of an instance must be valid if it is given. One line is logged for each key and reason instead of one for each entry.

UpstreamSet reports an upstream that is no longer leaving as joined, so that the balancer's mark is dropped; this happens where upstreams state no start time.

Tests changed: serverEntryOf writes all fields, since an entry with four missing fields is no longer one of an upstream. TestDecodeUpstream moved to decode_test.go and is stricter: the entry with three fields and an unknown one, which it expected to be valid, is now expected to be invalid; an unknown field beside all others is valid as before.

TestForeignEntries failed on the former code.

--- a/feed.go
+++ b/feed.go
@@ -39,6 +39,9 @@
 	Routing   *Routing
 	Upstreams map[string]UpstreamRecord
 	Instances map[string]Instance
+	// UnusableUpstreams and UnusableInstances name the entries that can't be decoded. The last valid one stays in force.
+	UnusableUpstreams []string
+	UnusableInstances []string
 }
 
 // FeedChange is one change; exactly one of its fields is set.
@@ -49,6 +52,9 @@
 	// RemovedUpstream and RemovedInstance name entries that were removed.
 	RemovedUpstream string
 	RemovedInstance string
+	// UnusableUpstream and UnusableInstance name entries that were replaced by one that can't be decoded.
+	UnusableUpstream string
+	UnusableInstance string
 }
 
 // Enrolment registers an instance in the list of instances under a lease. An error is a *StoreError; its kind not-found
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -73,7 +73,7 @@
 	handlers Handlers
 	log      logger.Logger
 
-	upstreams *registrar.Registry[carobbend.UpstreamRecord]
+	upstreams *registrar.Upstreams
 	instances *registrar.Registry[carobbend.Instance]
 
 	revision uint64
@@ -91,13 +91,15 @@
 	storeLost   bool
 	failures    int
 	storeLostAt time.Time
+	// rejected holds the entries that were logged as rejected.
+	rejected logger.Once
 }
 
 // New returns a follower with empty state.
 func New(feed carobbend.Feed, h Handlers) *Follower {
 	return &Follower{
 		feed: feed, handlers: h, log: logger.New("follower"), storeLost: true,
-		upstreams: registrar.New[carobbend.UpstreamRecord](RemovalGrace),
+		upstreams: registrar.NewUpstreams(RemovalGrace),
 		instances: registrar.New[carobbend.Instance](RemovalGrace),
 		wake:      make(chan struct{}, 1),
 	}
@@ -244,7 +246,17 @@
 	f.synced, f.revision = true, l.Revision
 	f.recordSuccess(now)
 	if f.scope == carobbend.ScopeAll {
-		f.upstreams.Replace(now, l.Upstreams)
+		if l.Routing != nil {
+			f.upstreams.SetRouting(now, l.Routing)
+		}
+		for _, r := range f.upstreams.Replace(now, l.Upstreams, l.UnusableUpstreams) {
+			f.logRejected(string(r.ID), r.Reason)
+		}
+	}
+	for _, name := range l.UnusableInstances {
+		if x, ok := f.instances.Get(name); ok {
+			l.Instances[name] = x
+		}
 	}
 	f.instances.Replace(now, l.Instances)
 	f.log.Info("full state read", "revision", l.Revision, "upstreams", len(l.Upstreams), "instances", len(l.Instances),
@@ -262,10 +274,16 @@
 	for _, c := range changes {
 		switch {
 		case c.Routing != nil:
+			upstreams = f.upstreams.SetRouting(now, c.Routing) || upstreams
 			f.applyRouting(c.Routing)
 		case c.Upstream != nil:
-			f.upstreams.Put(string(c.Upstream.ID), *c.Upstream)
-			upstreams = true
+			if reason := f.upstreams.Put(now, *c.Upstream); reason != "" {
+				f.logRejected(string(c.Upstream.ID), reason)
+			} else {
+				upstreams = true
+			}
+		case c.UnusableUpstream != "":
+			f.upstreams.Unusable(c.UnusableUpstream)
 		case c.Instance != nil:
 			f.instances.Put(c.Instance.Name, *c.Instance)
 			instances = true
@@ -279,7 +297,7 @@
 			}
 		}
 	}
-	upstreams = len(f.upstreams.Expire(now)) > 0 || upstreams
+	upstreams = f.upstreams.Expire(now) || upstreams
 	instances = len(f.instances.Expire(now)) > 0 || instances
 	f.publish(upstreams, instances)
 }
@@ -293,6 +311,13 @@
 	}
 }
 
+// logRejected logs that an upstream's entry isn't in force, once for each upstream and reason.
+func (f *Follower) logRejected(id string, reason registrar.Reason) {
+	if f.rejected.First(id + " " + string(reason)) {
+		f.log.Info("upstream entry not used", "upstream", id, "reason", reason)
+	}
+}
+
 func (f *Follower) applyRouting(r *carobbend.Routing) {
 	if f.handlers.Routing(r) {
 		f.log.Info("routing in force", "version", r.Version, "routes", len(r.Routes), "services", len(r.Services))
--- a/forwarder/upstreamset.go
+++ b/forwarder/upstreamset.go
@@ -50,7 +50,7 @@
 	for id, r := range v.records {
 		o, known := old.records[id]
 		switch {
-		case !known || o.StartedMs != r.StartedMs || o.Address != r.Address:
+		case !known || o.StartedMs != r.StartedMs || o.Address != r.Address || (o.Leaving && !r.Leaving):
 			c.Joined = append(c.Joined, r)
 		case r.Leaving && !o.Leaving:
 			c.Leaving = append(c.Leaving, r)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,6 +4,8 @@
 // are alive; the owners rewrite them soon after it ends. Removals that are seen during an outage or shortly after it
 // are therefore deferred for a grace period, and cancelled if the entry is back by then.
 //
+// Upstreams adds the rules by which an upstream is identified.
+//
 // The package does no I/O and reads no clock; all times are passed in. A Registry is safe for concurrent use.
 //
 // # Usage
@@ -143,6 +145,37 @@
 	return out
 }
 
+// Get returns the record of a key, also one with a deferred removal.
+func (r *Registry[T]) Get(key string) (T, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, ok := r.records[key]
+	return record, ok
+}
+
+// Defer removes the record of a key at a time, or as Remove does if that is later.
+func (r *Registry[T]) Defer(key string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.records[key]; !ok {
+		return
+	}
+	switch {
+	case r.storeLost:
+		until = time.Time{}
+	case until.Before(r.graceEnd):
+		until = r.graceEnd
+	}
+	r.heldUntil[key] = until
+}
+
+// Len returns the number of records, including those with a deferred removal.
+func (r *Registry[T]) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.records)
+}
+
 // HeldRemovals returns the number of deferred removals.
 func (r *Registry[T]) HeldRemovals() int {
 	r.mu.Lock()
--- a/routing.go
+++ b/routing.go
@@ -76,4 +76,8 @@
 	// StartedMs is the start of the process in Unix milliseconds, 0 where unknown. Another value under the same id means
 	// a new process, which doesn't know the requests of the old one.
 	StartedMs int64
+	// Sequence increases with the entries that one process writes.
+	Sequence int64
+	// WarmupLeft is the time for which the upstream is still cold, as of the entry.
+	WarmupLeft time.Duration
 }
