--- a/follower/follower.go
+++ b/follower/follower.go
@@ -88,8 +88,10 @@
 	// probeWanted requests a short watch, since another call to the store failed.
 	probeWanted atomic.Bool
 	// storeLost is set before the first successful call and while calls fail; failures counts consecutive failures.
-	storeLost   bool
-	failures    int
+	storeLost bool
+	failures  int
+	// unusable counts the watches since the last good one whose reply couldn't be used.
+	unusable    int
 	storeLostAt time.Time
 	// rejected holds the entries that were logged as rejected.
 	rejected logger.Once
@@ -212,6 +214,7 @@
 		return false, err
 	}
 	now := time.Now()
+	f.unusable = 0
 	f.revision = max(f.revision, next)
 	f.recordSuccess(now)
 	f.applyChanges(now, changes)
@@ -344,6 +347,13 @@
 		f.log.Info("store history compacted, full state is read again", "revision", f.revision)
 		return 0
 	}
+	if carobbend.StoreFailureOf(err) == carobbend.StoreUnusable && f.synced {
+		// The store answered, but would answer the same watch alike.
+		f.synced = false
+		f.unusable++
+		f.log.Error(err, "store reply can't be used, full state is read again", "revision", f.revision)
+		return sleeper.BackOff(f.unusable, minBackOff, maxBackOff)
+	}
 	f.failures++
 	if !f.storeLost {
 		f.storeLost, f.storeLostAt = true, now
--- a/store.go
+++ b/store.go
@@ -39,6 +39,9 @@
 	StoreCompacted StoreFailure = "compacted"
 	// StoreNotFound says that what the call refers to, for example a lease, doesn't exist.
 	StoreNotFound StoreFailure = "not-found"
+	// StoreUnusable says that the store replied to a read, but the reply is malformed, too long, or too long to be read in time.
+	// The same call would be answered alike.
+	StoreUnusable StoreFailure = "unusable"
 )
 
 // StoreError is the error of the methods of Store.
