acceptor, linker: try again after a temporary error of Accept

linker.Serve returned any error of Accept, and the run group then ended the whole process, so that a moment without free descriptors ended an instance. net/http tries again by itself, but only for a lack of descriptors, not of memory or buffers.

acceptor.Retry wraps a listener: after an error of the kernel that isn't one of the listener itself it waits, 5 ms at first and 0.5 s at most, and tries again, with one log line each 10 s. A stop ends the pause. linker.Serve and Acceptor, and so all HTTP listeners of carobbend forward and carobbend serve, use it.

A process with a lowered limit of descriptors was not tried.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -2,6 +2,7 @@
 //
 // http.Server.Shutdown drops a request that it reads after the call, and Close also drops running requests. An
 // Acceptor stops accepting connections, waits until the accepted requests are answered, and then closes the server.
+// A lack of descriptors doesn't end it.
 //
 // # Usage
 //
@@ -36,9 +37,9 @@
 	pending map[net.Conn]struct{}
 }
 
-// New returns an acceptor for a listener. It chains to the ConnState hook of the server if there is one.
+// New returns an acceptor for a listener, with the retries of Retry. It chains to the ConnState hook of the server if there is one.
 func New(l net.Listener, srv *http.Server) *Acceptor {
-	a := &Acceptor{listener: l, server: srv, pending: map[net.Conn]struct{}{}}
+	a := &Acceptor{listener: Retry(l), server: srv, pending: map[net.Conn]struct{}{}}
 	next := srv.ConnState
 	srv.ConnState = func(c net.Conn, s http.ConnState) {
 		a.trackConn(c, s)
--- a/linker/link.go
+++ b/linker/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"carobbend.example/carobbend/acceptor"
 	"carobbend.example/carobbend/encoder"
 )
 
@@ -161,8 +162,9 @@
 	}
 }
 
-// Serve accepts links from peers until the listener is closed.
+// Serve accepts links from peers until the listener is closed. It tries again after a temporary error of Accept.
 func (k *Linker) Serve(ln net.Listener) error {
+	ln = acceptor.Retry(ln)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for {
