storeclient: let only the probe decide about the back-off

Any canceled call canceled the breaker's probe, so that a second one was sent; and during a probe the failure of a call from before the back-off counted as the probe's, which extended the back-off and let another probe through. Calls now carry the ticket of the breaker, and a result counts during a back-off only with the ticket of the probe in flight. A success ends the back-off as before, whichever call it comes from.

The text of the error for a reply with no entry or with several ended in "%!w(<nil>)".

TestBreaker passes the tickets on and checks what it did before. TestOlderCallsDontEndProbe covers both faults; it uses the tickets and so doesn't compile with the former code, which had none to tell the calls apart. TestUnexpectedEntries failed before.

--- a/storeclient/breaker.go
+++ b/storeclient/breaker.go
@@ -26,26 +26,33 @@
 	mu           sync.Mutex
 	failures     int
 	blockedUntil time.Time
-	// probing says that a probe is in flight; other calls are refused until blockedUntil at the latest.
-	probing bool
+	// probe is the number of the probe in flight, 0 if there is none; other calls are refused until blockedUntil at the latest.
+	probe ticket
+	// probes counts the probes.
+	probes ticket
 }
 
+// ticket identifies a call that is a probe; it is 0 for other calls.
+type ticket uint64
+
 func newBreaker(firstWait, maxWait, probeTimeout time.Duration) *breaker {
 	return &breaker{firstWait: firstWait, maxWait: maxWait, probeTimeout: probeTimeout}
 }
 
-// allow reports whether a call may be sent now. The first call that it allows after a back-off is the probe.
-func (b *breaker) allow(now time.Time) bool {
+// allow reports whether a call may be sent now. The first call that it allows after a back-off is the probe. The ticket is
+// passed on with the result of the call.
+func (b *breaker) allow(now time.Time) (ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.failures == 0 {
-		return true
+		return 0, true
 	}
 	if now.Before(b.blockedUntil) {
-		return false
+		return 0, false
 	}
-	b.probing, b.blockedUntil = true, now.Add(b.probeTimeout)
-	return true
+	b.probes++
+	b.probe, b.blockedUntil = b.probes, now.Add(b.probeTimeout)
+	return b.probe, true
 }
 
 // failing reports whether a call failed since the last success.
@@ -59,23 +66,24 @@
 func (b *breaker) recordSuccess() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.failures, b.probing = 0, false
+	b.failures, b.probe = 0, 0
 }
 
-// cancelProbe allows the next call at once if the probe was canceled without a result.
-func (b *breaker) cancelProbe() {
+// cancelProbe allows the next call at once if the canceled call was the probe in flight.
+func (b *breaker) cancelProbe(t ticket) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.probing {
-		b.probing, b.blockedUntil = false, time.Time{}
+	if t != 0 && t == b.probe {
+		b.probe, b.blockedUntil = 0, time.Time{}
 	}
 }
 
-// recordFailure starts a back-off. Failures of calls that were in flight when it started don't extend it.
-func (b *breaker) recordFailure(now time.Time) {
+// recordFailure starts a back-off. During one, only the failure of the probe in flight extends it: other calls were sent before
+// it started.
+func (b *breaker) recordFailure(now time.Time, t ticket) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.failures > 0 && !b.probing && now.Before(b.blockedUntil) {
+	if b.failures > 0 && (t == 0 || t != b.probe) {
 		return
 	}
 	bound := b.maxWait
@@ -83,5 +91,5 @@
 		bound = min(b.maxWait, b.firstWait<<b.failures)
 	}
 	b.failures++
-	b.probing, b.blockedUntil = false, now.Add(rand.N(bound+1))
+	b.probe, b.blockedUntil = 0, now.Add(rand.N(bound+1))
 }
--- a/storeclient/storeclient.go
+++ b/storeclient/storeclient.go
@@ -127,8 +127,11 @@
 		return carobbend.Entry{Key: key}, nil
 	}
 	var entries []kvEntry
-	if err := json.Unmarshal(rep.body, &entries); err != nil || len(entries) != 1 {
-		return carobbend.Entry{}, storeError(op, key, carobbend.StoreUnavailable, fmt.Errorf("reply: expected one entry: %w", err))
+	if err := json.Unmarshal(rep.body, &entries); err != nil {
+		return carobbend.Entry{}, storeError(op, key, carobbend.StoreUnavailable, fmt.Errorf("reply: expected a list of entries: %w", err))
+	}
+	if n := len(entries); n != 1 {
+		return carobbend.Entry{}, storeError(op, key, carobbend.StoreUnavailable, fmt.Errorf("reply: got %d entries, expected one", n))
 	}
 	return carobbend.Entry{Key: key, Value: entries[0].Value, Revision: entries[0].ModifyIndex}, nil
 }
--- a/storeclient/storeclient_test.go
+++ b/storeclient/storeclient_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"reflect"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -197,31 +198,80 @@
 	b := newBreaker(100*time.Millisecond, 2*time.Second, 500*time.Millisecond)
 	now := time.Unix(0, 0)
 	var longest time.Duration
+	var probe ticket
 	for range 200 {
-		b.recordFailure(now)
+		b.recordFailure(now, probe)
 		until := b.blockedUntil
 		longest = max(longest, until.Sub(now))
 		if until.After(now) {
-			b.recordFailure(now)
-			if b.allow(until.Add(-1)) || !b.blockedUntil.Equal(until) {
+			b.recordFailure(now, 0)
+			if _, ok := b.allow(until.Add(-1)); ok || !b.blockedUntil.Equal(until) {
 				t.Fatal("a call passed during the back-off, or one in flight moved it")
 			}
 		}
 		now = until
-		if first, second := b.allow(now), b.allow(now); !first || second {
+		var first, second bool
+		probe, first = b.allow(now)
+		if _, second = b.allow(now); !first || second {
 			t.Fatalf("after the back-off: got %v, %v, want one call to pass", first, second)
 		}
 	}
 	if longest > 2*time.Second || longest < time.Second {
 		t.Errorf("longest wait: got %v, want close to 2s", longest)
 	}
-	b.cancelProbe()
-	if !b.allow(now) {
+	b.cancelProbe(probe)
+	if _, ok := b.allow(now); !ok {
 		t.Error("after a cancelled probe: got no call passed, want one")
 	}
 	b.recordSuccess()
-	if first, second := b.allow(now), b.allow(now); !first || !second {
-		t.Error("after a success: got a refused call")
+	for range 2 {
+		if _, ok := b.allow(now); !ok {
+			t.Error("after a success: got a refused call")
+		}
+	}
+}
+
+// Guards against a second probe, because a call from before the outage was canceled; against a longer back-off, because such a
+// call failed; and against a probe that counts although another one has replaced it.
+func TestOlderCallsDontEndProbe(t *testing.T) {
+	b := newBreaker(time.Second, time.Second, 500*time.Millisecond)
+	now := time.Unix(0, 0)
+	older, _ := b.allow(now)
+	b.recordFailure(now, older)
+	now = now.Add(2 * time.Second)
+	probe, _ := b.allow(now)
+	b.cancelProbe(older)
+	if _, ok := b.allow(now); ok {
+		t.Error("after an older call was canceled: got a second probe")
+	}
+	until := b.blockedUntil
+	b.recordFailure(now, older)
+	if !b.blockedUntil.Equal(until) || b.failures != 1 {
+		t.Errorf("after an older call failed: got %d failures, want 1", b.failures)
+	}
+	now = now.Add(time.Second)
+	later, ok := b.allow(now)
+	if !ok || later == probe {
+		t.Fatal("after the time-out of the probe: got no other probe")
+	}
+	if b.cancelProbe(probe); b.probe != later {
+		t.Error("after a replaced probe was canceled: got no probe, want the later one")
+	}
+	if b.recordFailure(now, later); b.failures != 2 {
+		t.Errorf("after the failure of the probe: got %d failures, want 2", b.failures)
+	}
+}
+
+// Guards against an error text that contains "%!w(<nil>)".
+func TestUnexpectedEntries(t *testing.T) {
+	for _, body := range []string{"[]", "x"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		c := New(s.URL, WithTimeout(longTimeout))
+		if _, err := c.Get(t.Context(), "k"); err == nil || strings.Contains(err.Error(), "%!") {
+			t.Errorf("reply %q: got error %v, want one with a whole text", body, err)
+		}
+		c.Close()
+		s.Close()
 	}
 }
 
--- a/storeclient/transport.go
+++ b/storeclient/transport.go
@@ -121,7 +121,8 @@
 }
 
 func (t *transport) call(ctx context.Context, q request) (reply, error) {
-	if err := t.admit(ctx, q); err != nil {
+	probe, err := t.admit(ctx, q)
+	if err != nil {
 		return reply{}, err
 	}
 	q.count.Add(1)
@@ -139,34 +140,35 @@
 		t.breaker.recordSuccess()
 	case ctx.Err() != nil:
 		// The caller canceled; that says nothing about the store.
-		t.breaker.cancelProbe()
+		t.breaker.cancelProbe(probe)
 	default:
-		t.breaker.recordFailure(time.Now())
+		t.breaker.recordFailure(time.Now(), probe)
 	}
 	return reply{}, storeError(q.op, q.key, kind, err)
 }
 
 // admit refuses calls during a back-off and over the rate limit, for which it waits at most maxRateWait. Refused calls
-// were not sent.
-func (t *transport) admit(ctx context.Context, q request) error {
-	if !t.breaker.allow(time.Now()) {
+// were not sent. The ticket is that of the breaker.
+func (t *transport) admit(ctx context.Context, q request) (ticket, error) {
+	probe, ok := t.breaker.allow(time.Now())
+	if !ok {
 		t.count.backedOff.Add(1)
-		return storeError(q.op, q.key, carobbend.StoreUnavailable, errBackOff)
+		return 0, storeError(q.op, q.key, carobbend.StoreUnavailable, errBackOff)
 	}
 	res := t.limiter.Reserve()
 	d := res.Delay()
 	if !res.OK() || d > maxRateWait {
 		res.Cancel()
-		t.breaker.cancelProbe()
+		t.breaker.cancelProbe(probe)
 		t.count.limited.Add(1)
-		return storeError(q.op, q.key, carobbend.StoreLimited, errRateLimited)
+		return 0, storeError(q.op, q.key, carobbend.StoreLimited, errRateLimited)
 	}
 	if d > 0 && !sleeper.Sleep(ctx, d) {
 		res.Cancel()
-		t.breaker.cancelProbe()
-		return storeError(q.op, q.key, carobbend.StoreUnavailable, ctx.Err())
+		t.breaker.cancelProbe(probe)
+		return 0, storeError(q.op, q.key, carobbend.StoreUnavailable, ctx.Err())
 	}
-	return nil
+	return probe, nil
 }
 
 func (t *transport) send(ctx context.Context, q request) (reply, carobbend.StoreFailure, error) {
