router: send nothing to the single service of a split at weight 0

A split with one service used it whatever its weight, while one with several leaves out those at weight 0. The operator takes all requests from a service by that weight. Such requests are now refused as not run.

TestSplitWithoutWeight failed before: the service at weight 0 was chosen.

--- a/router/route.go
+++ b/router/route.go
@@ -17,12 +17,9 @@
 }
 
 // Choose returns the service for the next request by smooth weighted round-robin, so that any run of requests is split in
-// proportion to the weights. A single service is always chosen; otherwise it returns "" if none has a positive weight.
+// proportion to the weights. It returns "" if no service has a positive weight.
 func (r *Route) Choose() string {
-	switch len(r.Split) {
-	case 0:
-		return ""
-	case 1:
+	if len(r.Split) == 1 && r.Split[0].Weight > 0 {
 		return r.Split[0].Service
 	}
 	r.mu.Lock()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -86,6 +86,16 @@
 	}
 }
 
+// TestSplitWithoutWeight guards against a service that gets requests although the operator took all of them from it.
+func TestSplitWithoutWeight(t *testing.T) {
+	for _, split := range [][]carobbend.WeightedService{nil, {{Service: "a"}}, {{Service: "a"}, {Service: "b"}}} {
+		r := &Route{Route: carobbend.Route{Split: split}}
+		if got := r.Choose(); got != "" {
+			t.Errorf("%v: got service %q, want none", split, got)
+		}
+	}
+}
+
 func BenchmarkFind(b *testing.B) {
 	for _, n := range []int{10, 400} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
