registrar: keep what identifies an upstream whose entry expired

An upstream whose removal was part of a disturbance of the store may come back under the same start time. Its record was dropped, so that an entry of an earlier process, also of one that had announced its departure, or one with another service could follow. TestUpstreamsInvariants, a randomised test, found it with 20,000 checks: an id restarted after an announced departure, several entries were removed at once, and an entry of the first process was put in force. The record is now kept, marked as one that may return.

An upstream that was frozen or cut off from the store for longer than its lease comes back alive, although its entry was removed while the store was undisturbed. It was out for 30 s; it now counts as alive after 10 s if it has written five entries of increasing sequence meanwhile. A late entry is one of few, and expires within 4 s.

--- a/registrar/upstreams.go
+++ b/registrar/upstreams.go
@@ -19,10 +19,12 @@
 	expiryWindow = 2 * time.Second
 	minExpired   = 3
 	expiredPart  = 0.25
-	// revivalTime is how long an upstream whose entry was removed must have one again before it counts as alive after all, as
-	// after an outage between it and the store alone. Upstreams serve for some seconds after they left, and late entries
-	// of theirs expire within 4 s.
+	// An upstream whose entry was removed may be alive after all, as after it was frozen, or cut off from the store. It counts as
+	// alive once it has had an entry again for revivalTime, or for renewalTime with minRenewals entries of increasing sequence.
+	// Upstreams serve for some seconds after they left, and a late entry of theirs expires within 4 s.
 	revivalTime = 30 * time.Second
+	renewalTime = 10 * time.Second
+	minRenewals = 5
 	// departureRetention and maxDepartures bound what is kept of upstreams that left.
 	departureRetention = time.Hour
 	maxDepartures      = 16 << 10
@@ -57,9 +59,33 @@
 	at     time.Time
 	// final says that the process doesn't come back: it said itself that it is leaving, and its start time identifies it.
 	final bool
-	// candidate is its present entry, nil if there is none, and since is when that was first seen.
+	// mayReturn says that the entry may only have expired, since the store was disturbed: the process may come back at once.
+	mayReturn bool
+	// candidate is its present entry, nil if there is none; since is when that was first seen, and renewals counts the entries of
+	// increasing sequence since then.
 	candidate *carobbend.UpstreamRecord
 	since     time.Time
+	renewals  int
+}
+
+// renew records an entry of the process.
+func (d *departure) renew(now time.Time, e carobbend.UpstreamRecord) {
+	switch {
+	case d.candidate == nil:
+		d.since, d.renewals = now, 1
+	case e.Sequence > d.candidate.Sequence:
+		d.renewals++
+	}
+	d.candidate = &e
+}
+
+// isAlive reports whether the process has had an entry for so long that it hasn't left.
+func (d *departure) isAlive(now time.Time) bool {
+	if d.candidate == nil {
+		return false
+	}
+	age := now.Sub(d.since)
+	return age >= revivalTime || (age >= renewalTime && d.renewals >= minRenewals)
 }
 
 // Upstreams keeps the records of upstreams as Registry does, and rejects entries that don't follow from the earlier ones
@@ -205,7 +231,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.registry.StoreLost(now)
-	u.forgetRemovals(now.Add(-undetectedOutage))
+	u.allowReturn(now.Add(-undetectedOutage))
 }
 
 // StoreRegained records the end of an outage and starts the grace period.
@@ -216,15 +242,10 @@
 func (u *Upstreams) Expire(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	expired := u.registry.Expire(now)
-	changed := len(expired) > 0
-	for _, id := range expired {
-		delete(u.unnamed, id)
-		delete(u.overwritten, id)
-	}
+	changed := u.expire(now)
 	for id, d := range u.left {
 		switch {
-		case d.candidate != nil && now.Sub(d.since) >= revivalTime:
+		case d.isAlive(now):
 			delete(u.left, id)
 			changed = u.put(now, *d.candidate) == "" || changed
 		case d.candidate == nil && now.Sub(d.at) >= departureRetention:
@@ -236,6 +257,23 @@
 	return changed
 }
 
+// expire removes the records whose deferred removal is due, and reports whether there were any.
+func (u *Upstreams) expire(now time.Time) bool {
+	if u.registry.HeldRemovals() == 0 {
+		return false
+	}
+	before := u.registry.All()
+	expired := u.registry.Expire(now)
+	for _, id := range expired {
+		delete(u.unnamed, id)
+		delete(u.overwritten, id)
+		if u.left[id] == nil {
+			u.depart(now, before[id], departure{mayReturn: true})
+		}
+	}
+	return len(expired) > 0
+}
+
 // put decides about an entry. u.mu is held, as in all unexported methods.
 func (u *Upstreams) put(now time.Time, e carobbend.UpstreamRecord) Reason {
 	id := string(e.ID)
@@ -255,7 +293,7 @@
 	delete(u.overwritten, id)
 	delete(u.left, id)
 	if e.Leaving {
-		u.depart(now, e, e.StartedMs != 0)
+		u.depart(now, e, departure{final: e.StartedMs != 0})
 	}
 	u.registry.Put(id, e)
 	return ""
@@ -266,15 +304,16 @@
 	id := string(e.ID)
 	if d := u.left[id]; d != nil {
 		switch {
+		case u.isSameProcess(d.record, e) && d.mayReturn:
+			if e.Service != d.record.Service && u.services[d.record.Service] {
+				return ReasonService
+			}
 		case u.isSameProcess(d.record, e):
 			if known && e.Leaving && e.Service == o.Service {
 				return ""
 			}
 			if !e.Leaving && !d.final && e.Service == d.record.Service {
-				if d.candidate == nil {
-					d.since = now
-				}
-				d.candidate = &e
+				d.renew(now, e)
 			}
 			return ReasonLeft
 		case u.statesStart && e.StartedMs < d.record.StartedMs:
@@ -329,24 +368,25 @@
 		return false
 	}
 	if d := u.left[id]; d == nil {
-		u.depart(now, o, false)
+		u.depart(now, o, departure{})
 	}
 	u.detectExpiry(now)
 	return true
 }
 
 // depart records that a process left or is leaving.
-func (u *Upstreams) depart(now time.Time, o carobbend.UpstreamRecord, final bool) {
+func (u *Upstreams) depart(now time.Time, o carobbend.UpstreamRecord, d departure) {
 	if len(u.left) >= maxDepartures {
 		for id := range u.left {
 			delete(u.left, id)
 			break
 		}
 	}
-	u.left[string(o.ID)] = &departure{record: o, at: now, final: final}
+	d.record, d.at = o, now
+	u.left[string(o.ID)] = &d
 }
 
-// detectExpiry drops the departures of the last moments if there are so many that the entries must have expired.
+// detectExpiry lets the upstreams of the last moments return if there are so many that their entries must have expired.
 func (u *Upstreams) detectExpiry(now time.Time) {
 	u.removedAt = append(u.removedAt, now)
 	for now.Sub(u.removedAt[0]) > expiryWindow {
@@ -354,15 +394,16 @@
 	}
 	n := len(u.removedAt)
 	if n >= minExpired && float64(n) > expiredPart*float64(n+u.registry.Len()) {
-		u.forgetRemovals(now.Add(-expiryWindow))
+		u.allowReturn(now.Add(-expiryWindow))
 	}
 }
 
-// forgetRemovals drops the departures since a time, except those of processes that announced that they are leaving.
-func (u *Upstreams) forgetRemovals(since time.Time) {
-	for id, d := range u.left {
+// allowReturn lets the processes return whose entry was removed since a time, except those that announced that they are
+// leaving.
+func (u *Upstreams) allowReturn(since time.Time) {
+	for _, d := range u.left {
 		if !d.record.Leaving && !d.at.Before(since) {
-			delete(u.left, id)
+			d.mayReturn = true
 		}
 	}
 }
--- a/registrar/upstreams_test.go
+++ b/registrar/upstreams_test.go
@@ -138,6 +138,20 @@
 			u.Put(at(1), up("u0", "s", 100, 11, false))
 			u.Expire(at(30_001))
 		}, true},
+		{"removed, renewed", 100, func(u *Upstreams) {
+			u.Remove(at(0), "u0")
+			for i := range 10 {
+				u.Put(at(4000+1200*i), up("u0", "s", 100, int64(11+i), false))
+			}
+			u.Expire(at(4000 + 1200*9))
+		}, true},
+		{"removed, renewed for a short time", 100, func(u *Upstreams) {
+			u.Remove(at(0), "u0")
+			for i := range 8 {
+				u.Put(at(1200*i), up("u0", "s", 100, int64(11+i), false))
+			}
+			u.Expire(at(1200 * 8))
+		}, false},
 		{"removed, late entry expired", 100, func(u *Upstreams) {
 			u.Remove(at(0), "u0")
 			u.Put(at(1), up("u0", "s", 100, 11, false))
@@ -158,6 +172,20 @@
 			u.Expire(at(7000))
 			u.Put(at(7500), up("u0", "s", 100, 11, false))
 		}, true},
+		{"expired in an outage, then another service", 100, func(u *Upstreams) {
+			u.StoreLost(at(0))
+			u.Remove(at(1), "u0")
+			u.StoreRegained(at(5000))
+			u.Expire(at(7000))
+			u.Put(at(7500), up("u0", "t", 100, 11, false))
+		}, false},
+		{"expired in an outage, then an earlier process", 100, func(u *Upstreams) {
+			u.StoreLost(at(0))
+			u.Remove(at(1), "u0")
+			u.StoreRegained(at(5000))
+			u.Expire(at(7000))
+			u.Put(at(7500), up("u0", "s", 99, 11, false))
+		}, false},
 		{"expired shortly before the outage was noticed", 100, func(u *Upstreams) {
 			u.Remove(at(0), "u0")
 			u.StoreLost(at(4000))
