--- a/feed.go
+++ b/feed.go
@@ -41,6 +41,9 @@
 	Instances map[string]Instance
 	// Evacuated holds the data centres whose upstreams must not be sent to.
 	Evacuated []DataCentre
+	// UnusableUpstreams and UnusableInstances name the entries that can't be decoded. The last valid one stays in force.
+	UnusableUpstreams []string
+	UnusableInstances []string
 }
 
 // FeedChange is one change; exactly one of its fields is set.
@@ -53,6 +56,9 @@
 	RemovedInstance string
 	// Evacuated names a data centre to whose upstreams nothing may be sent, EvacuationEnded one for which this has ended.
 	Evacuated, EvacuationEnded DataCentre
+	// UnusableUpstream and UnusableInstance name entries that were replaced by one that can't be decoded.
+	UnusableUpstream string
+	UnusableInstance string
 }
 
 // Enrolment registers an instance in the list of instances under a lease. An error is a *StoreError; its kind not-found
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -78,7 +78,7 @@
 	handlers Handlers
 	log      logger.Logger
 
-	upstreams *registrar.Registry[carobbend.UpstreamRecord]
+	upstreams *registrar.Upstreams
 	instances *registrar.Registry[carobbend.Instance]
 	// evacuated holds the evacuated data centres by name. An evacuation whose end is seen during an outage of the store, or
 	// right after one, stays in force for RemovalGrace: sending nothing for a moment longer is the safe side.
@@ -96,16 +96,20 @@
 	// probeWanted requests a short watch, since another call to the store failed.
 	probeWanted atomic.Bool
 	// storeLost is set before the first successful call and while calls fail; failures counts consecutive failures.
-	storeLost   bool
-	failures    int
+	storeLost bool
+	failures  int
+	// unusable counts the watches since the last good one whose reply couldn't be used.
+	unusable    int
 	storeLostAt time.Time
+	// rejected holds the entries that were logged as rejected.
+	rejected logger.Once
 }
 
 // New returns a follower with empty state.
 func New(feed carobbend.Feed, h Handlers) *Follower {
 	return &Follower{
 		feed: feed, handlers: h, log: logger.New("follower"), storeLost: true,
-		upstreams: registrar.New[carobbend.UpstreamRecord](RemovalGrace),
+		upstreams: registrar.NewUpstreams(RemovalGrace),
 		instances: registrar.New[carobbend.Instance](RemovalGrace),
 		evacuated: registrar.New[carobbend.DataCentre](RemovalGrace),
 		wake:      make(chan struct{}, 1),
@@ -219,6 +223,7 @@
 		return false, err
 	}
 	now := time.Now()
+	f.unusable = 0
 	f.revision = max(f.revision, next)
 	f.recordSuccess(now)
 	f.applyChanges(now, changes)
@@ -260,7 +265,17 @@
 	if f.scope == carobbend.ScopeAll {
 		f.evacuated.Replace(now, byName(l.Evacuated))
 		f.publishEvacuated()
-		f.upstreams.Replace(now, l.Upstreams)
+		if l.Routing != nil {
+			f.upstreams.SetRouting(now, l.Routing)
+		}
+		for _, r := range f.upstreams.Replace(now, l.Upstreams, l.UnusableUpstreams) {
+			f.logRejected(string(r.ID), r.Reason)
+		}
+	}
+	for _, name := range l.UnusableInstances {
+		if x, ok := f.instances.Get(name); ok {
+			l.Instances[name] = x
+		}
 	}
 	f.instances.Replace(now, l.Instances)
 	f.log.Info("full state read", "revision", l.Revision, "upstreams", len(l.Upstreams), "instances", len(l.Instances),
@@ -279,10 +294,16 @@
 	for _, c := range changes {
 		switch {
 		case c.Routing != nil:
+			upstreams = f.upstreams.SetRouting(now, c.Routing) || upstreams
 			f.applyRouting(c.Routing)
 		case c.Upstream != nil:
-			f.upstreams.Put(string(c.Upstream.ID), *c.Upstream)
-			upstreams = true
+			if reason := f.upstreams.Put(now, *c.Upstream); reason != "" {
+				f.logRejected(string(c.Upstream.ID), reason)
+			} else {
+				upstreams = true
+			}
+		case c.UnusableUpstream != "":
+			f.upstreams.Unusable(c.UnusableUpstream)
 		case c.Instance != nil:
 			f.instances.Put(c.Instance.Name, *c.Instance)
 			instances = true
@@ -296,7 +317,7 @@
 			}
 		}
 	}
-	upstreams = len(f.upstreams.Expire(now)) > 0 || upstreams
+	upstreams = f.upstreams.Expire(now) || upstreams
 	instances = len(f.instances.Expire(now)) > 0 || instances
 	f.publish(upstreams, instances)
 }
@@ -342,6 +363,13 @@
 	}
 }
 
+// logRejected logs that an upstream's entry isn't in force, once for each upstream and reason.
+func (f *Follower) logRejected(id string, reason registrar.Reason) {
+	if f.rejected.First(id + " " + string(reason)) {
+		f.log.Info("upstream entry not used", "upstream", id, "reason", reason)
+	}
+}
+
 func (f *Follower) applyRouting(r *carobbend.Routing) {
 	if f.handlers.Routing(r) {
 		f.log.Info("routing in force", "version", r.Version, "routes", len(r.Routes), "services", len(r.Services))
@@ -369,6 +397,13 @@
 		f.log.Info("store history compacted, full state is read again", "revision", f.revision)
 		return 0
 	}
+	if carobbend.StoreFailureOf(err) == carobbend.StoreUnusable && f.synced {
+		// The store answered, but would answer the same watch alike.
+		f.synced = false
+		f.unusable++
+		f.log.Error(err, "store reply can't be used, full state is read again", "revision", f.revision)
+		return sleeper.BackOff(f.unusable, minBackOff, maxBackOff)
+	}
 	f.failures++
 	if !f.storeLost {
 		f.storeLost, f.storeLostAt = true, now
