Heed upstreams that announce that they are leaving or ask for a pause

Replies with Server-Leaving, and 503 with Retry-After, were relayed without effect: the next request went to the same upstream.

The exchanger reports what the head of each reply, 421 excluded, says about its upstream. The restrictor marks the process, by its start time, as leaving or paused. A leaving upstream gets nothing new while its service has another one, and nothing at all after 0.8 of the new setting drain-time. A paused one gets nothing for the time that it asked for, 30 s at most; refusals carry the end of the first pause.

The tests fail without the observation, with 421 observed, and without the bound on pauses. forwarder_test.go: the header names got one more.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -23,6 +23,7 @@
 	"carobbend.example/carobbend/meter"
 	"carobbend.example/carobbend/platform"
 	"carobbend.example/carobbend/relayer"
+	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/router"
 	"carobbend.example/carobbend/scatterer"
 	"carobbend.example/carobbend/settings"
@@ -111,7 +112,8 @@
 	x.forwarder = forwarder.New(forwarder.Config{
 		Headers: headers, Router: &x.router, Upstreams: &x.upstreams, Balancer: x.balancer, Exchanger: x.exchanger,
 		RetryBudget: x.retryBudget, Hedger: hedger.New(), Instances: x.selector.InstanceCount,
-		OnResume: x.onResume, AwaitRouting: x.awaitRouting,
+		Restrictor: &restrictor.Restrictor{DrainTime: cfg.DrainTime},
+		OnResume:   x.onResume, AwaitRouting: x.awaitRouting,
 		Memory: limiter.NewBytes(int64(requestMemoryFraction * float64(cfg.MemoryMB) * (1 << 20))),
 	})
 	x.store = platform.NewStore(cfg.Store)
@@ -148,7 +150,7 @@
 func (x *forwardInstance) attachMetrics(lines *logger.Async) error {
 	m, err := meter.NewForward(meter.ForwardSources{
 		StoreCalls: x.store.Calls, Connections: x.exchanger.Open, Opened: x.exchanger.Opened,
-		DataCentres: x.forwarder.Restrictor.DataCentres, InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
+		DataCentres: x.forwarder.Restrictor.DataCentres, Restricted: x.forwarder.Restricted, InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
 		Upstreams: func() int64 { return int64(x.upstreams.Size()) },
 		Members:   func() int64 { return int64(x.selector.InstanceCount()) },
 		RoutingVersion: func() int64 {
@@ -200,6 +202,7 @@
 	for _, r := range records {
 		all = append(all, r)
 	}
+	x.forwarder.UpdateRestrictions(all)
 	c := x.upstreams.Update(all)
 	now := time.Now()
 	for _, r := range c.Joined {
--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -215,6 +215,9 @@
 	if err != nil {
 		return nil, false, err
 	}
+	if t.Observe != nil && m.StatusCode != StatusMisdirected {
+		t.Observe(a.x.notice(m))
+	}
 	reusable := func() bool {
 		select {
 		case werr := <-written:
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -37,6 +37,8 @@
 	NotRun string
 	// Load holds the upstream's running requests, waiting requests and slots, separated by commas.
 	Load string
+	// Leaving is present in the replies of an upstream that will stop soon.
+	Leaving string
 }
 
 // Target is an upstream to send to.
@@ -48,6 +50,9 @@
 	// Permit is called right before the request is written. If it returns false, nothing is written and the attempt fails as
 	// restricted. It may be nil.
 	Permit func() bool
+	// Observe is called with what the head of the reply says about the upstream, also if the reply is a failure or its body
+	// breaks off, but not for StatusMisdirected. It may be nil.
+	Observe func(Notice)
 }
 
 const (
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -26,8 +26,10 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 var names = Headers{
-	Headers: exchanger.Headers{RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load"},
-	Proof:   "X-Proof", Proofs: "X-Proofs", Missing: "X-Missing",
+	Headers: exchanger.Headers{
+		RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load", Leaving: "X-Leaving",
+	},
+	Proof: "X-Proof", Proofs: "X-Proofs", Missing: "X-Missing",
 }
 
 // tier is a forwarder with test upstreams.
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -81,6 +81,15 @@
 	l.log.Error(err, "upstream reply discarded because it is too large", "id", id, "service", service, "upstream", upstream)
 }
 
+// notice logs what an upstream said about itself.
+func (l requestLog) notice(event string, u carobbend.UpstreamRecord, kv ...any) {
+	if !l.problem.Allow() {
+		l.dropped.Add(1)
+		return
+	}
+	l.log.Info(event, append([]any{"upstream", u.ID, "service", u.Service, "data-centre", u.DataCentre}, kv...)...)
+}
+
 // missing lists the first shards without a reply as service/upstream, with the upstream that was asked last, or as
 // service/none if none was asked.
 func (q *query) missing() string {
--- a/forwarder/restrictions.go
+++ b/forwarder/restrictions.go
@@ -13,6 +13,9 @@
 // coverageTolerance keeps a coverage that is a whole number of shards from being rounded up to the next one.
 const coverageTolerance = 1e-9
 
+// maxLoggedValue is the number of bytes of an invalid value that are logged.
+const maxLoggedValue = 40
+
 // SetEvacuated replaces the evacuated data centres. Once it returns, no request is sent there any more; those in flight end
 // normally.
 func (f *Forwarder) SetEvacuated(dcs []carobbend.DataCentre) {
@@ -38,9 +41,24 @@
 	if !f.Restrictor.Active() {
 		return time.Time{}
 	}
-	return time.Now().Add(f.Suspended())
+	return f.bootTime()
+}
+
+// bootTime returns the time on a clock that includes the time for which the machine was suspended.
+func (f *Forwarder) bootTime() time.Time { return time.Now().Add(f.Suspended()) }
+
+// UpdateRestrictions drops the restrictions of processes that the records of all upstreams show to be gone.
+func (f *Forwarder) UpdateRestrictions(records []carobbend.UpstreamRecord) {
+	byID := make(map[carobbend.UpstreamID]carobbend.UpstreamRecord, len(records))
+	for _, u := range records {
+		byID[u.ID] = u
+	}
+	f.Restrictor.Update(f.bootTime(), byID)
 }
 
+// Restricted returns the number of restricted upstreams by reason, without those in evacuated data centres.
+func (f *Forwarder) Restricted() map[restrictor.Reason]int { return f.Restrictor.Counts(f.bootTime()) }
+
 // candidates returns the upstreams of a service that take new work and may be sent to.
 func (f *Forwarder) candidates(service string) []carobbend.UpstreamID {
 	return f.Restrictor.Filter(f.restrictionTime(), f.upstreams.Candidates(service), f.upstreams.Record)
@@ -56,7 +74,7 @@
 // newPermission returns the permission of an attempt to an upstream and sets it in its target.
 func (f *Forwarder) newPermission(u carobbend.UpstreamRecord, t *exchanger.Target) *permission {
 	p := &permission{f: f, record: u}
-	t.Permit = p.ask
+	t.Permit, t.Observe = p.ask, p.observe
 	return p
 }
 
@@ -65,6 +83,22 @@
 	return p.granted
 }
 
+// observe takes what a reply says about its upstream.
+func (p *permission) observe(n exchanger.Notice) {
+	if n.Leaving && p.f.Restrictor.ObserveLeaving(p.f.bootTime(), p.record) {
+		p.f.log.notice("upstream announced that it is leaving", p.record)
+	}
+	if n.RetryAfter > 0 {
+		if d := p.f.Restrictor.ObserveRetryAfter(p.f.bootTime(), p.record, n.RetryAfter); d > 0 {
+			p.f.log.notice("upstream asked for a pause", p.record, "asked-ms", n.RetryAfter.Milliseconds(), "pause-ms", d.Milliseconds())
+		}
+	}
+	if n.InvalidRetryAfter != "" {
+		p.f.log.notice("upstream sent an invalid Retry-After, which is ignored", p.record,
+			"value", n.InvalidRetryAfter[:min(len(n.InvalidRetryAfter), maxLoggedValue)])
+	}
+}
+
 // finished records the end of the attempt.
 func (p *permission) finished() {
 	if p.granted && p.f.Restrictor.Finished(p.record) {
@@ -75,7 +109,7 @@
 // untilServable returns the time after which enough services are expected to have an upstream that may be sent to for the
 // minimum coverage; 0 if they have now. Services without any upstream count with retryAfter, since nothing is known of them.
 func (f *Forwarder) untilServable(services []string, minCoverage float64) time.Duration {
-	now := f.restrictionTime()
+	now := f.bootTime()
 	waits := make([]time.Duration, 0, len(services))
 	for _, s := range services {
 		ids := f.upstreams.Candidates(s)
--- a/forwarder/restrictions_test.go
+++ b/forwarder/restrictions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -61,8 +62,9 @@
 		chosen <- struct{}{}
 		return 1
 	}
-	release := make(chan struct{})
+	running, release := make(chan struct{}), make(chan struct{})
 	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
 		<-release
 		proof(w, r)
 	})
@@ -70,14 +72,16 @@
 	tr.routing.Services = []carobbend.Service{{Name: "a", MaxConns: 1}}
 	tr.route(order(false))
 	var calls sync.WaitGroup
-	for range 2 {
-		calls.Go(func() {
-			if resp, _ := tr.call(t, "POST", "/o/1", "x"); resp.status != http.StatusOK {
-				t.Errorf("got %d, want 200", resp.status)
-			}
-		})
-		<-chosen
+	call := func() {
+		if resp, _ := tr.call(t, "POST", "/o/1", "x"); resp.status != http.StatusOK {
+			t.Errorf("got %d, want 200", resp.status)
+		}
 	}
+	calls.Go(call)
+	<-chosen
+	<-running
+	calls.Go(call)
+	<-chosen
 	tr.upstream(t, "a", "a2", "", proof)
 	tr.place("a2", "z2")
 	tr.SetEvacuated([]carobbend.DataCentre{"z1"})
@@ -154,3 +158,143 @@
 		t.Errorf("requests sent for refused ones: got %d, want 0", got)
 	}
 }
+
+// suspend lets time pass for the restrictions as if the machine had been suspended.
+func (tr *tier) suspend() func(time.Duration) {
+	var passed atomic.Int64
+	tr.Suspended = func() time.Duration { return time.Duration(passed.Load()) }
+	return func(d time.Duration) { passed.Add(int64(d)) }
+}
+
+// until calls the route until an upstream was asked.
+func (tr *tier) until(t *testing.T, path, id string) {
+	t.Helper()
+	for before := tr.runsOf(id); tr.runsOf(id) == before; {
+		tr.call(t, "GET", path, "")
+	}
+}
+
+// TestLeavingUpstreamGetsNothingNew guards against requests to an upstream after it announced in any reply, also a failure, that
+// it is leaving; and against taking that from a reply that another upstream gives under its old address.
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		proof  string
+		avoid  bool
+	}{
+		{http.StatusOK, "p", true},
+		{http.StatusInternalServerError, "p", true},
+		{http.StatusServiceUnavailable, "", true},
+		{http.StatusMisdirectedRequest, "", false},
+	} {
+		t.Run(strconv.Itoa(c.status), func(t *testing.T) {
+			tr := newTier(t)
+			pass := tr.suspend()
+			tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Leaving", "1")
+				w.Header().Set("X-Proof", c.proof)
+				w.WriteHeader(c.status)
+			})
+			tr.upstream(t, "a", "a2", "", proof)
+			tr.route(order(true))
+			tr.until(t, "/o/1", "a1")
+			if got := tr.Restrictor.Active(); got != c.avoid {
+				t.Fatalf("leaving: got %v, want %v", got, c.avoid)
+			}
+			if !c.avoid {
+				return
+			}
+			before := tr.runsOf("a1")
+			for range 30 {
+				tr.call(t, "GET", "/o/1", "")
+			}
+			if got := tr.runsOf("a1") - before; got != 0 {
+				t.Errorf("requests after the announcement: got %d, want 0", got)
+			}
+			// The only upstream left is used until the drain time has passed.
+			tr.upstreams.Update(tr.records[:1])
+			tr.call(t, "GET", "/o/1", "")
+			if got := tr.runsOf("a1") - before; got == 0 {
+				t.Error("the only upstream left: got no request, want one")
+			}
+			pass(time.Minute)
+			before = tr.runsOf("a1")
+			resp, _ := tr.call(t, "GET", "/o/1", "")
+			if got := tr.runsOf("a1") - before; got != 0 || resp.status != http.StatusServiceUnavailable || resp.header.Get("Retry-After") == "" {
+				t.Errorf("after the drain time: got %d requests, status %d, want 0 and 503 with a time", got, resp.status)
+			}
+		})
+	}
+}
+
+// TestPausedUpstreamGetsNothing guards against requests to an upstream that asked for a pause, against a caller that is told
+// another time, and against a pause that is taken from an invalid value or never ends.
+func TestPausedUpstreamGetsNothing(t *testing.T) {
+	for _, c := range []struct {
+		retryAfter string
+		// pause is how long nothing is sent.
+		pause time.Duration
+	}{
+		{"7.5", 7500 * time.Millisecond},
+		{"1e300", 30 * time.Second},
+		{"0", 0},
+		{"-3", 0},
+		{"NaN", 0},
+		{"soon", 0},
+	} {
+		t.Run(c.retryAfter, func(t *testing.T) {
+			tr := newTier(t)
+			pass := tr.suspend()
+			refuse := func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Not-Run", "1")
+				w.Header().Set("Retry-After", c.retryAfter)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			tr.upstream(t, "a", "a1", "", refuse)
+			tr.upstream(t, "a", "a2", "", refuse)
+			tr.route(order(true))
+			for tr.runsOf("a1") == 0 || tr.runsOf("a2") == 0 {
+				tr.call(t, "POST", "/o/1", "x")
+			}
+			before := tr.runsOf("a1") + tr.runsOf("a2")
+			for range 5 {
+				resp, _ := tr.call(t, "POST", "/o/1", "x")
+				s, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+				if err != nil || resp.status != http.StatusServiceUnavailable || s <= 0 || s > max(c.pause, retryAfter).Seconds() {
+					t.Errorf("got %d, Retry-After %v, %v, want 503 and at most %v", resp.status, s, err, c.pause)
+				}
+			}
+			if got := tr.runsOf("a1") + tr.runsOf("a2") - before; (got == 0) != (c.pause > 0) {
+				t.Errorf("requests during a pause of %v: got %d", c.pause, got)
+			}
+			pass(c.pause)
+			before = tr.runsOf("a1") + tr.runsOf("a2")
+			tr.call(t, "POST", "/o/1", "x")
+			if got := tr.runsOf("a1") + tr.runsOf("a2") - before; got == 0 {
+				t.Error("after the pause: got no request, want some")
+			}
+		})
+	}
+}
+
+// TestPausedShardIsLeftOut guards against a query that asks a shard whose upstreams asked for a pause, or is refused although the
+// minimum coverage allows an answer without it.
+func TestPausedShardIsLeftOut(t *testing.T) {
+	tr := newTier(t)
+	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "20")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	tr.upstream(t, "b", "b1", record("b"), nil)
+	tr.upstream(t, "c", "c1", record("c"), nil)
+	tr.route(search("a", "b", "c"))
+	tr.call(t, "GET", "/s/1", "")
+	for range 5 {
+		if resp, _ := tr.call(t, "GET", "/s/1", ""); resp.status != http.StatusOK || resp.header.Get("X-Missing") != "1" {
+			t.Errorf("got %d, missing %q, want 200 without one shard", resp.status, resp.header.Get("X-Missing"))
+		}
+	}
+	if got := tr.runsOf("a1"); got != 1 {
+		t.Errorf("requests to the paused upstream: got %d, want the first alone", got)
+	}
+}
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -30,6 +30,8 @@
 	Ready          func() bool
 	// DataCentres returns the data centres to which requests are sent or that are evacuated.
 	DataCentres func() []restrictor.DataCentreStatus
+	// Restricted returns the number of restricted upstreams by reason.
+	Restricted func() map[restrictor.Reason]int
 }
 
 // Forward records the events of a forwarding instance. It implements forwarder.Recorder and is safe for concurrent
@@ -66,6 +68,7 @@
 	b.observableCounter("carobbend_log_lines_dropped", "Log lines dropped since the output was too slow.", src.DroppedLines)
 	b.observableFlag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
 	b.observeDataCentres(src.DataCentres)
+	b.observeRestricted(src.Restricted)
 	b.observeBreaches()
 	if b.err != nil {
 		return nil, &Error{Op: "new instrument", Err: b.err}
@@ -128,3 +131,16 @@
 			}
 		})
 }
+
+// observeRestricted registers the gauge of restricted upstreams.
+func (b *builder) observeRestricted(f func() map[restrictor.Reason]int) {
+	if f == nil {
+		return
+	}
+	b.observableGauges("carobbend_upstreams_restricted", "Upstreams that must not, or should not, be sent to, by reason.",
+		func(observe func(value int64, attrs ...attribute.KeyValue)) {
+			for reason, n := range f() {
+				observe(int64(n), attribute.String("reason", string(reason)))
+			}
+		})
+}
--- a/restrictor/restrictor.go
+++ b/restrictor/restrictor.go
@@ -1,5 +1,6 @@
 // Package restrictor decides to which upstreams an instance may send requests, beyond what the list of upstreams says: none
-// go to a data centre that is evacuated.
+// go to a data centre that is evacuated, to an upstream that asked for a pause, or to one that announced a while ago that it is
+// leaving.
 //
 // The decision is asked twice for each attempt: when its candidates are formed (Filter), and right before its request is
 // written to a connection (Permit), since it may have waited for one while a restriction began.
@@ -14,6 +15,7 @@
 //	ids := r.Filter(now, set.Candidates(service), set.Record)
 //	if reason := r.Permit(now, record); reason == restrictor.None {
 //		write(request)
+//		r.ObserveRetryAfter(now, record, reply.RetryAfter)
 //		drained := r.Finished(record)
 //	}
 package restrictor
@@ -36,22 +38,33 @@
 	None Reason = ""
 	// Evacuated says that the upstream's data centre is evacuated.
 	Evacuated Reason = "evacuated"
+	// Leaving says that the upstream announced that it is leaving.
+	Leaving Reason = "leaving"
+	// Paused says that the upstream asked for a pause.
+	Paused Reason = "paused"
 )
 
-// evacuationRetryAfter is the time after which a caller may come back that was refused because of an evacuation. Its end
-// isn't known, and a second is short against the time that operators need for one.
-const evacuationRetryAfter = time.Second
+// unknownRetryAfter is the time after which a caller may come back that was refused because of a restriction whose end isn't
+// known. A second is short against the time that an evacuation or the replacement of an upstream takes.
+const unknownRetryAfter = time.Second
 
 // maxDataCentres bounds the data centres for which requests are counted.
 const maxDataCentres = 64
 
 // Restrictor holds the restrictions on upstreams. The zero value has none.
 type Restrictor struct {
+	// DrainTime is the time within which requests to an upstream must end after it announced that it is leaving; 0 means
+	// DefaultDrainTime. It is set before the first use.
+	DrainTime time.Duration
+
 	// active is set while there may be a restriction, so that Filter costs nothing without one.
 	active atomic.Bool
 
 	mu          sync.Mutex
 	dataCentres map[carobbend.DataCentre]*dataCentre
+	upstreams   map[carobbend.UpstreamID]*upstream
+	// droppedAt is when the upstreams without restrictions were last dropped.
+	droppedAt time.Time
 }
 
 // dataCentre is the state of one data centre.
@@ -101,7 +114,7 @@
 
 // updateActive sets active; r.mu must be held.
 func (r *Restrictor) updateActive() {
-	active := false
+	active := len(r.upstreams) > 0
 	for _, d := range r.dataCentres {
 		active = active || d.evacuated
 	}
@@ -139,26 +152,51 @@
 }
 
 // reason is Allowed; r.mu must be held.
-func (r *Restrictor) reason(_ time.Time, u carobbend.UpstreamRecord) Reason {
-	if d := r.dataCentres[u.DataCentre]; d != nil && d.evacuated {
+func (r *Restrictor) reason(now time.Time, u carobbend.UpstreamRecord) Reason {
+	d, s := r.dataCentres[u.DataCentre], r.upstreams[u.ID]
+	switch {
+	case d != nil && d.evacuated:
 		return Evacuated
+	case s == nil:
+		return None
+	case s.isPaused(now, u):
+		return Paused
+	case s.isLeaving(u):
+		return Leaving
+	default:
+		return None
 	}
-	return None
 }
 
-// Filter returns the candidates that may be sent to. It may return the slice that it is given.
+// Filter returns the candidates that may be sent to. Upstreams that announced that they are leaving are among them only if there
+// is no other one, and only for a part of the drain time. It may return the slice that it is given.
 func (r *Restrictor) Filter(now time.Time, ids []carobbend.UpstreamID, record Records) []carobbend.UpstreamID {
 	if !r.active.Load() {
 		return ids
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.dropEnded(now)
 	allowed := make([]carobbend.UpstreamID, 0, len(ids))
+	var leaving []carobbend.UpstreamID
 	for _, id := range ids {
-		if u, ok := record(id); ok && r.reason(now, u) == None {
+		u, ok := record(id)
+		if !ok {
+			continue
+		}
+		switch r.reason(now, u) {
+		case None:
 			allowed = append(allowed, id)
+		case Leaving:
+			if r.mayUseLeaving(now, id) {
+				leaving = append(leaving, id)
+			}
+		case Evacuated, Paused:
 		}
 	}
+	if len(allowed) == 0 {
+		return leaving
+	}
 	return allowed
 }
 
@@ -189,7 +227,14 @@
 func (r *Restrictor) untilAllowed(now time.Time, u carobbend.UpstreamRecord) time.Duration {
 	switch r.reason(now, u) {
 	case Evacuated:
-		return evacuationRetryAfter
+		return unknownRetryAfter
+	case Paused:
+		return r.upstreams[u.ID].pause.until.Sub(now)
+	case Leaving:
+		if r.mayUseLeaving(now, u.ID) {
+			return 0
+		}
+		return unknownRetryAfter
 	default:
 		return 0
 	}
@@ -200,7 +245,7 @@
 func (r *Restrictor) Permit(now time.Time, u carobbend.UpstreamRecord) Reason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reason := r.reason(now, u); reason != None {
+	if reason := r.reason(now, u); reason != None && (reason != Leaving || !r.mayUseLeaving(now, u.ID)) {
 		return reason
 	}
 	r.dataCentre(u.DataCentre).inFlight++
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -24,6 +24,8 @@
 	Cores float64 `yaml:"cores" validate:"gte=0"`
 	// MemoryMB is the memory available to the process, in MB; 0 keeps the default of the Go runtime.
 	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
+	// DrainTime is the time after which nothing is sent to an upstream that announced that it is leaving.
+	DrainTime time.Duration `yaml:"drain-time" validate:"gte=0"`
 	// ExtraLoad bounds hedges and retries.
 	ExtraLoad ForwardExtraLoad `yaml:"extra-load"`
 }
@@ -52,8 +54,10 @@
 
 // Defaults of Forward.
 const (
-	defaultLease       = 2500 * time.Millisecond
-	defaultStopGrace   = 6 * time.Second
+	defaultLease     = 2500 * time.Millisecond
+	defaultStopGrace = 6 * time.Second
+	// defaultDrainTime is the shortest drain time of the known deployments.
+	defaultDrainTime   = 3 * time.Second
 	defaultExtraWindow = 10 * time.Second
 )
 
@@ -65,6 +69,9 @@
 	if s.StopGrace == 0 {
 		s.StopGrace = defaultStopGrace
 	}
+	if s.DrainTime == 0 {
+		s.DrainTime = defaultDrainTime
+	}
 	if s.ExtraLoad.Window == 0 {
 		s.ExtraLoad.Window = defaultExtraWindow
 	}
