--- a/settings/forward.go
+++ b/settings/forward.go
@@ -24,6 +24,8 @@
 	Cores float64 `yaml:"cores" validate:"gte=0"`
 	// MemoryMB is the memory available to the process, in MB; 0 keeps the default of the Go runtime.
 	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
+	// DrainTime is the time after which nothing is sent to an upstream that announced that it is leaving.
+	DrainTime time.Duration `yaml:"drain-time" validate:"gte=0"`
 	// ExtraLoad bounds hedges and retries.
 	ExtraLoad ForwardExtraLoad `yaml:"extra-load"`
 	// FirstStart says that the whole system starts for the first time, so that no callers wait for it yet.
@@ -54,8 +56,10 @@
 
 // Defaults of Forward.
 const (
-	defaultLease       = 2500 * time.Millisecond
-	defaultStopGrace   = 6 * time.Second
+	defaultLease     = 2500 * time.Millisecond
+	defaultStopGrace = 6 * time.Second
+	// defaultDrainTime is the shortest drain time of the known deployments.
+	defaultDrainTime   = 3 * time.Second
 	defaultExtraWindow = 10 * time.Second
 )
 
@@ -67,6 +71,9 @@
 	if s.StopGrace == 0 {
 		s.StopGrace = defaultStopGrace
 	}
+	if s.DrainTime == 0 {
+		s.DrainTime = defaultDrainTime
+	}
 	if s.ExtraLoad.Window == 0 {
 		s.ExtraLoad.Window = defaultExtraWindow
 	}
