Add the core that divides allotments among instances

An even split of an account's limit refuses requests within the limit: callers are few and each uses the instances of its data centre.

Package allotter divides an allotment into parts of one token bucket. Owners, named by a record in the store, hold them without anyone's word and grant them to instances that ask, for 2 s at a time. The core does no I/O. It isn't used yet.

--- /dev/null
+++ b/allotter/account.go
@@ -0,0 +1,106 @@
+package allotter
+
+import "time"
+
+// account is this instance's state of one limited account.
+type account struct {
+	name string
+	hash uint32
+	// removed is when the account left the routing, 0 if it hasn't.
+	removed time.Duration
+	// unshared says that no parts are exchanged with other instances.
+	unshared bool
+	// fresh is set until the limit was set for the first time.
+	fresh bool
+	// limitRate and limitBurst are the limit as configured; rate and burst are those of the bucket that is divided.
+	limitRate, limitBurst float64
+	rate, burst           float64
+
+	// level is the number of tokens as of at. next is when the parts change next.
+	level    float64
+	at, next time.Duration
+	// parts is the number of parts that this instance uses: its own ones that aren't granted, and those granted to it.
+	parts, own int
+	// share is the number of parts that this instance owns by the record, formerShare by the record before.
+	share, formerShare int
+	// owners are the owners of the account in the order in which this instance asks them, and shareOfOwner is what each owns.
+	owners       []string
+	shareOfOwner int
+	// reserveOwners and formerReserveOwners are the numbers of owners that share the reserve.
+	reserveOwners, formerReserveOwners int
+	// aim is the number of parts that this instance tries to hold.
+	aim     int
+	held    map[string]part
+	given   map[string]grant
+	reserve reserve
+
+	demand demand
+	// arrived and refusedNow count requests since the last tick.
+	arrived, refusedNow          int
+	served, fromReserve, refused int64
+}
+
+// part is a part that an owner granted to this instance.
+type part struct {
+	parts int
+	until time.Duration
+	// told is what the owner was last asked for. It remembers that, and grants it as soon as it can.
+	told int
+}
+
+// grant is a part that this instance granted.
+type grant struct {
+	parts  int
+	until  time.Duration
+	wanted int
+}
+
+// capacity is the greatest number of tokens that the parts hold.
+func (x *account) capacity() float64 { return x.burst * float64(x.parts) / whole }
+
+// earning is the number of tokens a second that the parts earn.
+func (x *account) earning() float64 { return x.rate * float64(x.parts) / whole }
+
+// earn adds the tokens that the parts earned up to a time.
+func (x *account) earn(now time.Duration) {
+	if now <= x.at {
+		return
+	}
+	x.level = min(x.level+x.earning()*(now-x.at).Seconds(), x.capacity())
+	x.at = now
+}
+
+// reserveCells is the number of cells of a window in which the use of a reserve is counted. One more is kept, so that a
+// request counts until its whole cell has left the window.
+const reserveCells = 10
+
+// reserve counts the requests that were served without tokens in the last window.
+type reserve struct {
+	cell    time.Duration
+	current int64
+	used    [reserveCells + 1]int
+}
+
+func newReserve(window time.Duration) reserve { return reserve{cell: max(window/reserveCells, 1)} }
+
+// take counts a request if fewer than allowed were counted in the window.
+func (r *reserve) take(now time.Duration, allowed int) bool {
+	cell := int64(now / r.cell)
+	if cell-r.current > reserveCells {
+		r.used = [reserveCells + 1]int{}
+		r.current = cell
+	}
+	for r.current < cell {
+		r.current++
+		r.used[r.current%(reserveCells+1)] = 0
+	}
+	sum := 0
+	for _, n := range r.used {
+		sum += n
+	}
+	if sum >= allowed {
+		return false
+	}
+	r.used[r.current%(reserveCells+1)]++
+	return true
+}
--- /dev/null
+++ b/allotter/faults_test.go
@@ -0,0 +1,156 @@
+package allotter
+
+import (
+	"testing"
+	"time"
+
+	"carobbend.example/carobbend"
+)
+
+// load sends Poisson arrivals of an account through the first instances of a fleet that are running.
+type load struct {
+	f       *fleet
+	account carobbend.Account
+	runs    []time.Duration
+	offered int
+	refused int
+}
+
+func (l *load) arrive(now time.Duration, rate float64, using ...string) {
+	for range l.f.poisson(rate * 0.01) {
+		l.offered++
+		if _, ok := l.f.instances[using[l.f.rng.IntN(len(using))]].Take(now, &l.account); ok {
+			l.runs = append(l.runs, now)
+		} else {
+			l.refused++
+		}
+	}
+}
+
+// phase runs the fleet with a load and returns the share of the requests that were served, and how many a second.
+func (l *load) phase(d time.Duration, confirmed bool, rate float64, using ...string) (share, perSecond float64) {
+	offered, served := l.offered, len(l.runs)
+	l.f.run(l.f.now+d, confirmed, func(now time.Duration) { l.arrive(now, rate, using...) })
+	served, offered = len(l.runs)-served, l.offered-offered
+	return float64(served) / float64(max(offered, 1)), float64(served) / d.Seconds()
+}
+
+func (l *load) check(t *testing.T) {
+	t.Helper()
+	if got, most := greatestWindow(l.runs, testWindow), bound(l.account); float64(got) > most {
+		t.Errorf("got %d requests in a window, want at most %v", got, most)
+	}
+}
+
+func newLoad(seed uint64, rate float64) *load {
+	a := carobbend.Account{Name: "a", Rate: rate, Burst: rate}
+	return &load{f: newFleet(seed, 8, a), account: a}
+}
+
+// TestSurge guards against an account that gets much less than its allotment while it sends 7.5 times its usual rate for 6.5 s
+// through two of eight instances, against one that gets more, and against refusals after the surge.
+func TestSurge(t *testing.T) {
+	for _, rate := range []float64{46, 10, 2.4} {
+		l := newLoad(3, rate)
+		using := []string{"i0", "i1"}
+		l.phase(20*time.Second, true, 0.6*rate, using...)
+		_, got := l.phase(6500*time.Millisecond, true, 7.5*0.6*rate, using...)
+		if got < 0.95*rate {
+			t.Errorf("limit of %v a second: got %.1f served a second in the surge, want at least 0.95 of the limit", rate, got)
+		}
+		t.Logf("limit of %v a second: %.1f served a second in the surge", rate, got)
+		l.phase(2*time.Second, true, 0.6*rate, using...)
+		if got, _ := l.phase(30*time.Second, true, 0.6*rate, using...); got < 0.98 {
+			t.Errorf("limit of %v a second: got %.3f served after the surge, want at least 0.98", rate, got)
+		}
+		l.check(t)
+	}
+}
+
+// TestStoreOutage guards against refusals within the allotment while the store doesn't answer for 14 s.
+func TestStoreOutage(t *testing.T) {
+	l := newLoad(4, 46)
+	l.phase(20*time.Second, true, 27, "i0", "i1")
+	if got, _ := l.phase(14*time.Second, false, 27, "i0", "i1"); got < 0.99 {
+		t.Errorf("got %.3f served, want at least 0.99", got)
+	}
+	l.phase(20*time.Second, false, 27, "i0", "i1")
+	if got, _ := l.phase(5*time.Second, false, 27, "i0", "i1"); got > 0.01 {
+		t.Errorf("long after the last confirmation: got %.3f served, want none", got)
+	}
+	l.phase(3*time.Second, true, 27, "i0", "i1")
+	if got, _ := l.phase(10*time.Second, true, 27, "i0", "i1"); got < 0.99 {
+		t.Errorf("after the store is back: got %.3f served, want at least 0.99", got)
+	}
+	l.check(t)
+}
+
+// TestLostInstances guards against an allotment that is lost with some of its owners, and against one that doesn't come back
+// after all instances were lost at once.
+func TestLostInstances(t *testing.T) {
+	l := newLoad(5, 46)
+	l.phase(20*time.Second, true, 27, "i0", "i1")
+	l.f.cut["i5"], l.f.cut["i6"] = true, true
+	if got, _ := l.phase(20*time.Second, true, 27, "i0", "i1"); got < 0.98 {
+		t.Errorf("two of eight lost: got %.3f served, want at least 0.98", got)
+	}
+	l.f.cut["i0"] = true
+	// What other instances granted ends meanwhile.
+	l.phase(grantValidity, true, 27, "i0")
+	if _, own := l.phase(10*time.Second, true, 27, "i0"); own < 46/8-1 || own > 46/8+1 {
+		t.Errorf("cut off: got %.1f served a second, want about its own part", own)
+	}
+	clear(l.f.cut)
+	for i, name := range l.f.names {
+		a := New(testConfig(name, 2), l.f.now)
+		a.SetAccounts(l.f.now, []carobbend.Account{l.account})
+		l.f.instances[l.f.names[i]] = a
+	}
+	got, _ := l.phase(4*time.Second, true, 27, "i0", "i1")
+	t.Logf("all lost: %.3f served in the first 4 s", got)
+	if got, _ := l.phase(20*time.Second, true, 27, "i0", "i1"); got < 0.99 {
+		t.Errorf("4 s after all were lost: got %.3f served, want at least 0.99", got)
+	}
+	l.check(t)
+}
+
+// TestReturn guards against requests that cost a token although they were refused later, and against tokens beyond the burst.
+func TestReturn(t *testing.T) {
+	l := newLoad(6, 46)
+	l.f.run(10*time.Second, true, func(time.Duration) {})
+	a := l.f.instances["i0"]
+	for range 1000 {
+		if _, ok := a.Take(l.f.now, &l.account); !ok {
+			t.Fatal("got a refusal although each token was returned")
+		}
+		a.Return(l.f.now, &l.account)
+	}
+	for range 1000 {
+		a.Return(l.f.now, &l.account)
+	}
+	served := 0
+	for range 1000 {
+		if _, ok := a.Take(l.f.now, &l.account); ok {
+			served++
+		}
+	}
+	if most := int(bound(l.account)); served > most/4 {
+		t.Errorf("after many returns: got %d served at once, want the part of one instance", served)
+	}
+}
+
+// TestRetryAfter guards against refusals whose time to come back is no time or minutes.
+func TestRetryAfter(t *testing.T) {
+	l := newLoad(7, 10)
+	a := l.f.instances["i0"]
+	check := func(when string) {
+		for range 200 {
+			if after, ok := a.Take(l.f.now, &l.account); !ok && (after < minRetryAfter || after > maxRetryAfter) {
+				t.Fatalf("%s: got %v, want %v to %v", when, after, minRetryAfter, maxRetryAfter)
+			}
+		}
+	}
+	check("without owners")
+	l.f.run(10*time.Second, true, func(time.Duration) {})
+	check("with a part")
+}
--- /dev/null
+++ b/allotter/random_test.go
@@ -0,0 +1,336 @@
+package allotter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/encoder"
+)
+
+// letter is a message on its way.
+type letter struct {
+	from, to string
+	// process is the sender's process of a request, to which its reply belongs.
+	process *Allotter
+	request *encoder.GrantRequest
+	reply   *encoder.GrantReply
+}
+
+// reading is what an instance read from the store and hasn't taken in yet.
+type reading struct {
+	process *Allotter
+	record  *carobbend.AllotmentOwners
+	asOf    time.Duration
+}
+
+// adversary runs instances under a random schedule.
+type adversary struct {
+	t         *rapid.T
+	now       time.Duration
+	names     []string
+	processes map[string]*Allotter
+	// version is the version of the accounts that each process has.
+	version  map[*Allotter]int
+	started  int
+	stored   *carobbend.AllotmentOwners
+	revision uint64
+	letters  []letter
+	readings []reading
+	limits   [][]carobbend.Account
+	runs     map[string][]time.Duration
+	// inForce is when each version of the limits was last in force in any process.
+	inForce []time.Duration
+	// undivided is the level of a bucket that isn't divided, as of the time at.
+	undivided map[string]float64
+	at        time.Duration
+	// reserves holds the requests that were served without tokens.
+	reserves map[string][]time.Duration
+}
+
+func (d *adversary) start(name string) {
+	d.started++
+	if old := d.processes[name]; old != nil {
+		d.inForce[d.version[old]] = max(d.inForce[d.version[old]], d.now)
+		delete(d.version, old)
+	}
+	a := New(testConfig(name, d.started), d.now)
+	d.version[a] = len(d.limits) - 1
+	a.SetAccounts(d.now, d.limits[len(d.limits)-1])
+	d.processes[name] = a
+}
+
+// pick draws an instance.
+func (d *adversary) pick() (string, *Allotter) {
+	name := rapid.SampledFrom(d.names).Draw(d.t, "instance")
+	return name, d.processes[name]
+}
+
+// read reads the store for a process; the answer arrives later.
+func (d *adversary) read() {
+	_, a := d.pick()
+	d.readings = append(d.readings, reading{a, d.stored, d.now})
+}
+
+func (d *adversary) takeReading() {
+	if len(d.readings) == 0 {
+		return
+	}
+	// Readings of one process arrive in order.
+	r := d.readings[0]
+	d.readings = d.readings[1:]
+	if r.record != nil {
+		r.process.SetOwners(d.now, r.record)
+	}
+	r.process.Confirm(d.now, r.asOf)
+}
+
+// write lets an instance propose owners and writes them if its revision is the present one.
+func (d *adversary) write() {
+	_, a := d.pick()
+	var desired []string
+	for _, name := range d.names {
+		if rapid.Bool().Draw(d.t, "owner") {
+			desired = append(desired, name)
+		}
+	}
+	r := a.Propose(d.now, desired)
+	present := uint64(0)
+	if d.stored != nil {
+		present = d.stored.Revision
+	}
+	if r == nil || r.Revision != present {
+		return
+	}
+	d.revision++
+	stored := *r
+	stored.Revision = d.revision
+	d.stored = &stored
+}
+
+// ask lets an instance send the requests that are due.
+func (d *adversary) ask() {
+	name, a := d.pick()
+	for _, r := range a.Tick(d.now) {
+		d.letters = append(d.letters, letter{from: name, to: r.To, process: a, request: r.Body})
+	}
+}
+
+// deliver delivers, loses or duplicates a message, in any order.
+func (d *adversary) deliver() {
+	if len(d.letters) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(d.letters)-1).Draw(d.t, "letter")
+	l := d.letters[i]
+	fate := rapid.IntRange(0, 9).Draw(d.t, "fate")
+	if fate != 0 {
+		d.letters = append(d.letters[:i:i], d.letters[i+1:]...)
+	}
+	if fate == 1 {
+		l.process.Failed(d.now, l.to, l.request.GetSequence())
+		return
+	}
+	if l.reply == nil {
+		l.reply = d.processes[l.to].Answer(d.now, l.from, l.request)
+		if rapid.Bool().Draw(d.t, "fast") {
+			l.process.Accept(d.now, l.to, l.reply)
+			return
+		}
+		d.letters = append(d.letters, l)
+		return
+	}
+	l.process.Accept(d.now, l.to, l.reply)
+}
+
+// exchangeAll lets all instances read the store and exchange messages without faults for a while.
+func (d *adversary) exchangeAll() {
+	for range rapid.IntRange(1, 20).Draw(d.t, "rounds") {
+		d.now += time.Duration(rapid.IntRange(50, 300).Draw(d.t, "round-ms")) * time.Millisecond
+		for _, name := range d.names {
+			a := d.processes[name]
+			if d.stored != nil {
+				a.SetOwners(d.now, d.stored)
+			}
+			a.Confirm(d.now, d.now)
+			for _, r := range a.Tick(d.now) {
+				a.Accept(d.now, r.To, d.processes[r.To].Answer(d.now, name, r.Body))
+			}
+		}
+	}
+}
+
+// changeLimits makes a new version of the limits, which processes adopt at other times.
+func (d *adversary) changeLimits() {
+	factor := rapid.SampledFrom([]float64{0, 0.1, 0.5, 1, 2}).Draw(d.t, "factor")
+	d.limits = append(d.limits, []carobbend.Account{
+		{Name: "big", Rate: 46 * factor, Burst: 46 * factor}, {Name: "small", Rate: 0.8 * factor, Burst: factor},
+	})
+	d.inForce = append(d.inForce, d.now)
+}
+
+func (d *adversary) adoptLimits() {
+	_, a := d.pick()
+	d.inForce[d.version[a]] = max(d.inForce[d.version[a]], d.now)
+	d.version[a] = len(d.limits) - 1
+	known := map[string]bool{}
+	for name := range a.accounts {
+		known[name] = true
+	}
+	a.SetAccounts(d.now, d.limits[d.version[a]])
+	for name, x := range a.accounts {
+		if !known[name] {
+			// The parts of an account that was unknown for long have not been used.
+			d.undivided[name] += x.level
+		}
+	}
+}
+
+// greatest returns the greatest rate and burst of an account that were in force in a process within two windows.
+func (d *adversary) greatest(account int, end time.Duration) (rate, burst float64) {
+	used := map[int]bool{}
+	for _, v := range d.version {
+		used[v] = true
+	}
+	for v, limits := range d.limits {
+		if used[v] || d.inForce[v] >= end-2*testWindow {
+			rate, burst = max(rate, limits[account].Rate), max(burst, limits[account].Burst)
+		}
+	}
+	return rate, burst + burstFraction*testSlack
+}
+
+// check fails if the instances may use more parts than there are, or more tokens than a bucket that isn't divided would hold.
+// The windows follow from both; they are seldom filled by a random schedule.
+func (d *adversary) check() {
+	for which, name := range []string{"big", "small"} {
+		rate, burst := d.greatest(which, d.now)
+		d.undivided[name] = min(d.undivided[name]+rate*(d.now-d.at).Seconds(), burst)
+		parts, tokens := 0, 0.0
+		for _, a := range d.processes {
+			x := a.accounts[name]
+			if x == nil {
+				continue
+			}
+			a.settle(x, d.now)
+			parts += x.parts
+			tokens += x.level
+		}
+		if parts > whole {
+			d.t.Fatalf("account %s at %v: got %d parts in use, want at most %d", name, d.now, parts, whole)
+		}
+		if tokens > d.undivided[name]+1e-6 {
+			d.t.Fatalf("account %s at %v: got %v tokens, want at most %v", name, d.now, tokens, d.undivided[name])
+		}
+	}
+	d.at = d.now
+}
+
+// countIn returns the number of times in the window to an end.
+func countIn(times []time.Duration, end time.Duration) (n int) {
+	for _, t := range times {
+		if t > end-testWindow && t <= end {
+			n++
+		}
+	}
+	return n
+}
+
+// use sends requests through an instance until one is refused, or a few.
+func (d *adversary) use() {
+	_, a := d.pick()
+	n := rapid.IntRange(1, 60).Draw(d.t, "requests")
+	which := rapid.IntRange(0, 1).Draw(d.t, "account")
+	limits := d.limits[d.version[a]][which]
+	if !limits.Limited() {
+		return
+	}
+	for range n {
+		before := a.accounts[limits.Name].fromReserve
+		if _, ok := a.Take(d.now, &limits); !ok {
+			continue
+		}
+		d.runs[limits.Name] = append(d.runs[limits.Name], d.now)
+		if a.accounts[limits.Name].fromReserve == before {
+			d.undivided[limits.Name]--
+			continue
+		}
+		d.reserves[limits.Name] = append(d.reserves[limits.Name], d.now)
+		if got, most := countIn(d.reserves[limits.Name], d.now), reserveFraction*testSlack; float64(got) > most {
+			d.t.Fatalf("account %s, window to %v: got %d requests without tokens, want at most %v", limits.Name, d.now, got, most)
+		}
+	}
+}
+
+// TestBoundHoldsUnderFaults guards against more requests in a window than the limit: by parts that two instances use at once,
+// tokens that count twice or owners that don't know of each other, under any order, delay, loss and repetition of messages,
+// with processes that are killed, frozen or cut from each other and from the store, changes of the owners and lower limits.
+func TestBoundHoldsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &adversary{t: t, processes: map[string]*Allotter{}, version: map[*Allotter]int{}, runs: map[string][]time.Duration{}, undivided: map[string]float64{}, reserves: map[string][]time.Duration{}}
+		d.limits = [][]carobbend.Account{{
+			{Name: "big", Rate: 46, Burst: 46}, {Name: "small", Rate: 0.8, Burst: 1},
+		}}
+		d.inForce = []time.Duration{0}
+		for i := range rapid.IntRange(2, 4).Draw(t, "instances") {
+			d.names = append(d.names, fmt.Sprintf("i%d", i))
+		}
+		for _, name := range d.names {
+			d.start(name)
+		}
+		if rapid.IntRange(0, 9).Draw(t, "settled") > 0 {
+			d.write()
+			d.exchangeAll()
+		}
+		// In a third of the schedules, most steps are short, so that exchanges complete.
+		longest := rapid.SampledFrom([]int{150, 600, 9000}).Draw(t, "longest-pause-ms")
+		for range rapid.IntRange(50, 500).Draw(t, "steps") {
+			switch rapid.IntRange(0, 24).Draw(t, "step") {
+			case 0, 1, 2, 3:
+				d.now += time.Duration(rapid.IntRange(1, longest).Draw(t, "ms")) * time.Millisecond
+			case 4, 5, 6:
+				d.ask()
+			case 7, 8, 9, 10:
+				d.deliver()
+			case 11, 12:
+				d.use()
+			case 13, 14:
+				d.read()
+			case 15, 16:
+				d.takeReading()
+			case 17:
+				d.write()
+			case 18:
+				if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+					name, _ := d.pick()
+					d.start(name)
+				}
+			case 20, 21:
+				d.exchangeAll()
+			case 22:
+				d.changeLimits()
+			case 23, 24:
+				d.adoptLimits()
+			case 19:
+				// A long pause: all are frozen or cut off.
+				if rapid.IntRange(0, 3).Draw(t, "long") == 0 {
+					d.now += time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second
+				}
+			}
+			d.check()
+		}
+		for which, name := range []string{"big", "small"} {
+			for _, at := range d.runs[name] {
+				rate, burst := d.greatest(which, at)
+				// The overage is room for the time between decision and arrival, which is none here.
+				most := rate*testWindow.Seconds() + burst + reserveFraction*testSlack
+				if got := countIn(d.runs[name], at); float64(got) > most+0.01 {
+					t.Fatalf("account %s, window to %v: got %d requests, want at most %v", name, at, got, most)
+				}
+			}
+		}
+	})
+}
--- a/feed.go
+++ b/feed.go
@@ -61,3 +61,14 @@
 	// Withdraw ends the lease, which removes the instance at once.
 	Withdraw(ctx context.Context) error
 }
+
+// AllotmentOwners is the record of the instances that own the allotments of all client accounts.
+type AllotmentOwners struct {
+	// Epoch rises by 1 with each record.
+	Epoch uint64 `json:"epoch"`
+	// Owners are names of instances. Former are the owners of the epoch before, empty in the first one.
+	Owners []string `json:"owners"`
+	Former []string `json:"former,omitempty"`
+	// Revision is that of the entry in the store, 0 if there is none.
+	Revision uint64 `json:"-"`
+}
--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -55,3 +55,16 @@
 	}
 	return lost
 }
+
+// Boot returns the time since the machine booted, suspensions included. Differences between its values are also right for
+// a process that was stopped or whose machine was suspended in between.
+func Boot() time.Duration {
+	var boot unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
+		// The clock exists on all supported kernels; without it, the monotonic clock is the closest one.
+		return time.Since(processStart)
+	}
+	return time.Duration(boot.Nano())
+}
+
+var processStart = time.Now()
