Bound the requests of client accounts over all instances

The limits of accounts were not enforced.

The forwarder takes a token of the account's allotment before the first attempt and answers 429 with the time until one is expected; a token of a request that no upstream ran is given back. The owners of allotments are kept in one entry of the store, which the existing watch delivers; parts are granted over the existing links. Instances without limited accounts send no message and make no store call.

--- a/allotter/account.go
+++ b/allotter/account.go
@@ -85,6 +85,15 @@
 
 // take counts a request if fewer than allowed were counted in the window.
 func (r *reserve) take(now time.Duration, allowed int) bool {
+	if !r.left(now, allowed) {
+		return false
+	}
+	r.used[r.current%(reserveCells+1)]++
+	return true
+}
+
+// left reports whether fewer requests than allowed were counted in the window.
+func (r *reserve) left(now time.Duration, allowed int) bool {
 	cell := int64(now / r.cell)
 	if cell-r.current > reserveCells {
 		r.used = [reserveCells + 1]int{}
@@ -98,9 +107,5 @@
 	for _, n := range r.used {
 		sum += n
 	}
-	if sum >= allowed {
-		return false
-	}
-	r.used[r.current%(reserveCells+1)]++
-	return true
+	return sum < allowed
 }
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -96,9 +96,6 @@
 	}
 }
 
-// Enabled reports whether allotments are enforced.
-func (a *Allotter) Enabled() bool { return a.cfg.Window > 0 }
-
 // hold is the time for which an owner's larger part isn't used: until those that had it before can't use it any more, nor have
 // used it in the same window.
 func (a *Allotter) hold() time.Duration {
@@ -112,7 +109,7 @@
 	defer a.mu.Unlock()
 	named := make(map[string]bool, len(list))
 	for i := range list {
-		if list[i].Limited() {
+		if list[i].Limited() && a.cfg.Window > 0 {
 			named[list[i].Name] = true
 			a.setLimit(now, &list[i])
 		}
@@ -180,6 +177,9 @@
 
 // Take takes a token of a limited account for one request. Without one it returns false and the time after which one is expected.
 func (a *Allotter) Take(now time.Duration, l *carobbend.Account) (retryAfter time.Duration, ok bool) {
+	if a.cfg.Window <= 0 {
+		return 0, true
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	x := a.accounts[l.Name]
@@ -198,9 +198,32 @@
 		x.fromReserve++
 		return 0, true
 	}
+	return a.refuse(x), false
+}
+
+// Check reports whether Take would succeed now. Otherwise the request counts as refused, as by Take.
+func (a *Allotter) Check(now time.Duration, l *carobbend.Account) (retryAfter time.Duration, ok bool) {
+	if a.cfg.Window <= 0 {
+		return 0, true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	x := a.accounts[l.Name]
+	if x == nil {
+		x = a.setLimit(now, l)
+	}
+	a.settle(x, now)
+	if x.level >= 1 || x.reserve.left(now, a.reserveOf(x, now)) {
+		return 0, true
+	}
+	x.arrived++
+	return a.refuse(x), false
+}
+
+func (a *Allotter) refuse(x *account) time.Duration {
 	x.refused++
 	x.refusedNow++
-	return x.retryAfter(), false
+	return x.retryAfter()
 }
 
 // Return gives back the token of a request that was not sent to any upstream and never will be.
--- a/allotter/asking.go
+++ b/allotter/asking.go
@@ -205,14 +205,17 @@
 	}
 }
 
-// Failed records that an owner didn't answer a request.
-func (a *Allotter) Failed(now time.Duration, owner string, sequence uint64) {
+// Failed records that an owner didn't answer a request, and reports whether that is the first failure in a row.
+func (a *Allotter) Failed(now time.Duration, owner string, sequence uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if e := a.asked[owner]; e != nil && e.outstanding == sequence {
-		e.outstanding = 0
-		e.fail(now)
+	e := a.asked[owner]
+	if e == nil || e.outstanding != sequence {
+		return false
 	}
+	e.outstanding = 0
+	e.fail(now)
+	return e.failures == 1
 }
 
 func (e *exchange) fail(now time.Duration) {
--- a/allotter/owners.go
+++ b/allotter/owners.go
@@ -18,21 +18,33 @@
 	// confirmed is the last time at which the record was known to be current; hasConfirmed is set once there is one.
 	confirmed    time.Duration
 	hasConfirmed bool
+	// first says that this process saw the store without a record before the first one was written. Then no former process owned
+	// or used any part.
+	sawNone, first bool
 }
 
-// SetOwners sets the record of owners as read from the store. A record of a lower or the same epoch is ignored.
-func (a *Allotter) SetOwners(now time.Duration, r *carobbend.AllotmentOwners) {
+// SetOwners sets the record of owners as read from the store, and reports whether it is a new one. A record of a lower or the
+// same epoch is ignored.
+func (a *Allotter) SetOwners(now time.Duration, r *carobbend.AllotmentOwners) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if old := a.owners.record; old != nil && r.Epoch <= old.Epoch {
-		return
+		return false
 	}
 	a.updateAll(now, func() {
+		a.owners.first = a.owners.record == nil && a.owners.sawNone && r.Epoch == 1
 		a.owners.record, a.owners.learned = r, now
 		for _, x := range a.accounts {
 			a.owners.assign(x, a.cfg.Self)
 		}
 	})
+	if a.owners.first {
+		a.updateAll(now, func() { a.started = min(a.started, now-a.hold()) })
+		for _, x := range a.accounts {
+			x.level = x.capacity()
+		}
+	}
+	return true
 }
 
 // Owners returns the record of owners, nil if none is known, and for how long it has been known.
@@ -49,6 +61,7 @@
 	if a.owners.hasConfirmed && asOf <= a.owners.confirmed {
 		return
 	}
+	a.owners.sawNone = a.owners.sawNone || a.owners.record == nil
 	set := func() { a.owners.confirmed, a.owners.hasConfirmed = asOf, true }
 	if a.owners.hasConfirmed && now < a.owners.confirmed+confirmationValidity {
 		// The accounts learn of it when the former confirmation would have ended.
--- a/allotter/random_test.go
+++ b/allotter/random_test.go
@@ -83,11 +83,22 @@
 	r := d.readings[0]
 	d.readings = d.readings[1:]
 	if r.record != nil {
-		r.process.SetOwners(d.now, r.record)
+		d.setOwners(r.process, r.record)
 	}
 	r.process.Confirm(d.now, r.asOf)
 }
 
+func (d *adversary) setOwners(a *Allotter, record *carobbend.AllotmentOwners) {
+	first := a.owners.first
+	a.SetOwners(d.now, record)
+	if a.owners.first && !first {
+		// Until then, nobody has used this instance's parts.
+		for name, x := range a.accounts {
+			d.undivided[name] += x.level
+		}
+	}
+}
+
 // write lets an instance propose owners and writes them if its revision is the present one.
 func (d *adversary) write() {
 	_, a := d.pick()
@@ -153,7 +164,7 @@
 		for _, name := range d.names {
 			a := d.processes[name]
 			if d.stored != nil {
-				a.SetOwners(d.now, d.stored)
+				d.setOwners(a, d.stored)
 			}
 			a.Confirm(d.now, d.now)
 			for _, r := range a.Tick(d.now) {
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/allotter"
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/enroller"
 	"carobbend.example/carobbend/exchanger"
@@ -68,10 +69,12 @@
 	enroller    *enroller.Enroller
 	// links connect to other instances, whose requests for the list of instances relay answers; nil unless a peer address
 	// is set.
-	links    *linker.Linker
-	relay    *relayer.Relay
-	meter    *meter.Forward
-	draining chan struct{}
+	links *linker.Linker
+	relay *relayer.Relay
+	// allotments bounds the requests of accounts with a limit.
+	allotments *allotter.Runner
+	meter      *meter.Forward
+	draining   chan struct{}
 	// suspensionDetector detects that the machine was suspended while no request arrived.
 	suspensionDetector timekeeper.SuspensionDetector
 	// active is set while this instance serves rather than being in reserve.
@@ -115,6 +118,11 @@
 		Memory: limiter.NewBytes(int64(requestMemoryFraction * float64(cfg.MemoryMB) * (1 << 20))),
 	})
 	x.store = platform.NewStore(cfg.Store)
+	if cfg.Listen.Peers != "" {
+		x.links = linker.New(x.self, linker.WithoutNotices())
+	}
+	x.allotments = x.newAllotments()
+	x.forwarder.Allotments = x.allotments
 	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
 	x.selector.SetSelf(x.self, false)
 	if steerer.NeedOf(x.self, nil) == steerer.NeedNow && steerer.Delay(x.self, steerer.NeedNow, 0) == 0 {
@@ -126,15 +134,25 @@
 		x.setFeed(platform.NewFeed(x.store))
 		return x
 	}
-	x.links = linker.New(x.self, linker.WithoutNotices())
-	x.links.AddHandlers(x.relay)
+	x.links.AddHandlers(x.relay, x.allotments)
 	x.setFeed(relayer.NewFeed(platform.NewFeed(x.store), x.self, x.links))
 	return x
 }
 
+func (x *forwardInstance) newAllotments() *allotter.Runner {
+	bound := x.cfg.Allotments
+	cfg := allotter.Config{
+		Self: x.self.Name, Incarnation: x.self.Incarnation, Window: bound.Window, Overage: bound.Overage, Slack: bound.Slack,
+	}
+	if x.links == nil {
+		return allotter.NewRunner(cfg, nil, platform.NewAllotmentStore(x.store))
+	}
+	return allotter.NewRunner(cfg, x.links, platform.NewAllotmentStore(x.store))
+}
+
 // setFeed creates the follower, which reads routing, upstreams and instances from feed.
 func (x *forwardInstance) setFeed(feed carobbend.Feed) {
-	x.follower = follower.New(feed, follower.Handlers{
+	x.follower = follower.New(x.allotments.Feed(feed), follower.Handlers{
 		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances, StoreState: x.relay.SetStoreState,
 	})
 	x.enroller.OnFailure(x.follower.Probe)
@@ -148,8 +166,9 @@
 	m, err := meter.NewForward(meter.ForwardSources{
 		StoreCalls: x.store.Calls, Connections: x.exchanger.Open, Opened: x.exchanger.Opened,
 		InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
-		Upstreams: func() int64 { return int64(x.upstreams.Size()) },
-		Members:   func() int64 { return int64(x.selector.InstanceCount()) },
+		Upstreams:  func() int64 { return int64(x.upstreams.Size()) },
+		Members:    func() int64 { return int64(x.selector.InstanceCount()) },
+		Allotments: x.allotments.Accounts,
 		RoutingVersion: func() int64 {
 			if t := x.router.Table(); t != nil {
 				return int64(t.Version())
@@ -185,6 +204,7 @@
 func (x *forwardInstance) applyRouting(r *carobbend.Routing) bool {
 	ok := x.router.Apply(r)
 	if ok {
+		x.allotments.SetAccounts(r.Accounts)
 		x.routingReadyOnce.Do(func() { close(x.routingReady) })
 	}
 	if ok && !x.isDraining() {
@@ -223,6 +243,9 @@
 		x.enroller.Reannounce()
 	}
 	x.relay.Update(instances)
+	if x.active.Load() {
+		x.allotments.Update(instances)
+	}
 	before := x.selector.InstanceCount()
 	x.selector.Update(instances)
 	n := x.selector.InstanceCount()
--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -95,6 +95,7 @@
 	}
 	g.Add(func() error { return x.follower.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.enroller.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return x.allotments.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.monitorLoad(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.handleSignals(ctx) }, func(error) { cancel() })
 	x.log.Info("started", "instance", x.self.Name, "incarnation", x.self.Incarnation, "callers", x.cfg.Listen.Callers)
--- a/feed.go
+++ b/feed.go
@@ -39,6 +39,8 @@
 	Routing   *Routing
 	Upstreams map[string]UpstreamRecord
 	Instances map[string]Instance
+	// AllotmentOwners is nil if the store holds no such record.
+	AllotmentOwners *AllotmentOwners
 }
 
 // FeedChange is one change; exactly one of its fields is set.
@@ -46,6 +48,8 @@
 	Routing  *Routing
 	Upstream *UpstreamRecord
 	Instance *Instance
+	// AllotmentOwners is a new record of the owners of allotments.
+	AllotmentOwners *AllotmentOwners
 	// RemovedUpstream and RemovedInstance name entries that were removed.
 	RemovedUpstream string
 	RemovedInstance string
@@ -72,3 +76,10 @@
 	// Revision is that of the entry in the store, 0 if there is none.
 	Revision uint64 `json:"-"`
 }
+
+// AllotmentStore writes the record of owners. An error is a *StoreError.
+type AllotmentStore interface {
+	// WriteOwners writes the record if the entry's revision is still that of the record; 0 means that there is none. Its kind
+	// unavailable says that another write came first or that the call took no effect.
+	WriteOwners(ctx context.Context, record AllotmentOwners) error
+}
--- a/forwarder/account_test.go
+++ b/forwarder/account_test.go
@@ -67,6 +67,9 @@
 	}
 	defer closeBody(t, resp)
 	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("Retry-After") != "0.250" {
+		t.Errorf("got 429 with Retry-After %q, want 0.250", resp.Header.Get("Retry-After"))
+	}
 	if resp.StatusCode == http.StatusUnauthorized && resp.Header.Get("WWW-Authenticate") == "" {
 		t.Error("got 401 without a challenge")
 	}
@@ -198,3 +201,80 @@
 		}
 	}
 }
+
+// fakeAllotments has a number of tokens.
+type fakeAllotments struct {
+	mu            sync.Mutex
+	tokens, taken int
+}
+
+func (a *fakeAllotments) Check(*carobbend.Account) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return 250 * time.Millisecond, a.tokens > 0
+}
+
+func (a *fakeAllotments) Take(*carobbend.Account) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tokens == 0 {
+		return 250 * time.Millisecond, false
+	}
+	a.tokens--
+	a.taken++
+	return 0, true
+}
+
+func (a *fakeAllotments) Return(*carobbend.Account) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tokens++
+}
+
+// TestRequestsBeyondTheLimit guards against requests beyond the limit of an account that reach an upstream, against several tokens
+// for a request to many shards, against tokens that are lost with requests that no upstream ran, and against limits for accounts
+// without one.
+func TestRequestsBeyondTheLimit(t *testing.T) {
+	limited := carobbend.Account{Name: "shop", Keys: []string{"k1"}, Rate: 1, Burst: 1}
+	tr, _ := accountTier(t, limited, carobbend.Account{Name: "free", Keys: []string{"k2"}})
+	shed := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	tr.upstream(t, "shedding", "s1", "", shed)
+	tr.upstream(t, "b", "b1", record("x"), nil)
+	tr.upstream(t, "c", "c1", record("y"), nil)
+	refused := order(false)
+	refused.Prefix, refused.Split = "/r/", []carobbend.WeightedService{{Service: "shedding", Weight: 1}}
+	tr.route(refused)
+	tr.route(search("b", "c"))
+	allotments := &fakeAllotments{tokens: 3}
+	tr.Allotments = allotments
+	for _, c := range []struct {
+		path, key, body string
+		status, tokens  int
+	}{
+		{"/s/", "k1", "", 200, 2},
+		{"/r/", "k1", "", 503, 2},
+		{"/none/", "k1", "", 404, 2},
+		{"/o/", "k3", "", 401, 2},
+		{"/o/", "k2", "", 200, 2},
+		{"/o/", "k1", "body", 200, 1},
+		{"/p/", "k1", "", 200, 0},
+		{"/o/", "k1", "", 429, 0},
+		{"/o/", "k1", "body", 429, 0},
+		{"/p/", "k1", "", 429, 0},
+		{"/p/", "k3", "", 200, 0},
+		{"/o/", "k2", "", 200, 0},
+	} {
+		runs := tr.runsOf("a1")
+		got := tr.callWith(t, c.path, strings.NewReader(c.body), "Authorization", "Bearer "+c.key)
+		if got != c.status || allotments.tokens != c.tokens {
+			t.Errorf("%s with %s: got %d and %d tokens left, want %d and %d", c.path, c.key, got, allotments.tokens, c.status, c.tokens)
+		}
+		if ran := tr.runsOf("a1") - runs; got == 429 && ran > 0 {
+			t.Errorf("%s with %s: got %d runs of a refused request", c.path, c.key, ran)
+		}
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -5,7 +5,7 @@
 // and end-to-end headers are relayed unchanged.
 //
 // Statuses that this package sets itself: 400 without a request id, 401 without a key of a client account where the route
-// needs one, 404 without a route, 408 for a body that doesn't
+// needs one, 404 without a route, 429 beyond the limit of an account, 408 for a body that doesn't
 // arrive in time, 413 for a body over its limit, 503 if nothing ran and nothing will, 502 if attempts failed and may have
 // run, 504 once the deadline passed. The body of these is a carobbend.ErrorReply.
 //
@@ -65,10 +65,22 @@
 type Recorder interface {
 	// Answered records the end of a request.
 	Answered(route string, outcome Outcome, latency time.Duration)
+	// AccountAnswered records the end of a request with the key of a client account.
+	AccountAnswered(account string, outcome Outcome)
 	// Attempted records an attempt at an upstream and how it ended.
 	Attempted(kind scatterer.AttemptKind, failure carobbend.FailureKind)
 }
 
+// Allotments decides which requests of limited accounts are served. It must be safe for concurrent use.
+type Allotments interface {
+	// Check reports whether Take would succeed now, or after which time it is expected to.
+	Check(*carobbend.Account) (retryAfter time.Duration, ok bool)
+	// Take takes a token for one request, or returns the time after which one is expected.
+	Take(*carobbend.Account) (retryAfter time.Duration, ok bool)
+	// Return gives back a token of a request that didn't run.
+	Return(*carobbend.Account)
+}
+
 // Outcome is how a request ended.
 type Outcome string
 
@@ -89,6 +101,8 @@
 	OutcomeInvalid Outcome = "invalid"
 	// OutcomeUnauthorized is a request without a key of a client account, on a route that needs one.
 	OutcomeUnauthorized Outcome = "unauthorized"
+	// OutcomeOverLimit is a refusal of a request beyond the limit of its account.
+	OutcomeOverLimit Outcome = "over-limit"
 	// OutcomeCallerLeft says that the caller left.
 	OutcomeCallerLeft Outcome = "caller-gone"
 )
@@ -113,6 +127,8 @@
 	Suspended func() time.Duration
 	// OnResume is called on the first request after the machine was suspended; it may be nil.
 	OnResume func(lost time.Duration)
+	// Allotments bounds the requests of limited accounts; nil means that accounts have no limits.
+	Allotments Allotments
 	// Recorder may be nil.
 	Recorder Recorder
 	// Instances returns the number of live instances, by which connections are shared.
@@ -177,6 +193,7 @@
 	}
 	refusal := f.prepare(q, w, r)
 	defer q.release()
+	defer q.returnToken()
 	if refusal == nil {
 		q.serve(w, r)
 	} else {
@@ -185,6 +202,9 @@
 	f.log.request(q)
 	if f.Recorder != nil {
 		f.Recorder.Answered(q.routeName(), q.outcome, time.Since(began))
+		if q.account != nil {
+			f.Recorder.AccountAnswered(q.account.Name, q.outcome)
+		}
 	}
 	if q.truncated {
 		// The server then closes the connection without the end of the answer.
@@ -222,7 +242,9 @@
 	if refused := q.decide(r.Header, host, path); refused != nil {
 		return refused
 	}
-	f.RetryBudget.Requested(q.began, q.services...)
+	if !q.isLimited() {
+		q.countForRetries()
+	}
 	if shortage := f.missingServices(q); shortage != "" {
 		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, shortage, retryAfter}
 	}
@@ -231,6 +253,9 @@
 		return noMemory()
 	}
 	q.reservation = reservation
+	if refused := q.checkLimit(hasBody(r)); refused != nil {
+		return refused
+	}
 	body, refused := readBody(w, r, t.Limits().BodyBytes, reservation)
 	if refused != nil {
 		return refused
@@ -238,6 +263,9 @@
 	if refused := q.decideAgain(r.Header, host, path); refused != nil {
 		return refused
 	}
+	if refused := q.takeToken(); refused != nil {
+		return refused
+	}
 	q.request = &exchanger.Request{
 		Method: r.Method, URI: uri, Host: r.Host, ID: q.id, Body: body, HasBody: hasBody(r), Deadline: q.deadline,
 		Header: q.requestHeader(r.Header), SuspendedTime: q.suspendedSince(q.suspended),
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -53,6 +53,9 @@
 	if q.route != nil {
 		kv = append(kv, "route", q.route.Name)
 	}
+	if q.account != nil {
+		kv = append(kv, "account", q.account.Name)
+	}
 	if s := q.scatter; s != nil {
 		kv = append(kv, "covered", s.Covered(), "needed", s.Need(), "shards", len(q.services),
 			"hedges", s.Hedges(), "retries", s.Retries(), "skips", s.Skips(), "left-ms", time.Until(q.deadline).Milliseconds())
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -29,6 +29,10 @@
 	account *carobbend.Account
 	// priority is the rank of the request, 0 first.
 	priority int
+	// tokenTaken is when a token of a limited account was taken; the zero time says that none was.
+	tokenTaken time.Time
+	// counted says that the request counts for the retry budget.
+	counted  bool
 	deadline time.Time
 	request  *exchanger.Request
 	// suspended is what Config.Suspended returned when the request arrived.
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/allotter"
 	"carobbend.example/carobbend/forwarder"
 	"carobbend.example/carobbend/scatterer"
 )
@@ -27,6 +28,8 @@
 	Members        func() int64
 	DroppedLines   func() int64
 	Ready          func() bool
+	// Allotments returns the state of the accounts with a limit; it may be nil.
+	Allotments func() []allotter.Account
 }
 
 // Forward records the events of a forwarding instance. It implements forwarder.Recorder and is safe for concurrent
@@ -36,6 +39,7 @@
 	requests metric.Int64Counter
 	latency  metric.Float64Histogram
 	attempts metric.Int64Counter
+	accounts accounts
 	byRoute  sync.Map
 	byKind   sync.Map
 }
@@ -62,6 +66,7 @@
 	b.observableCounter("carobbend_store_calls", "Calls to the store; a watch is one call.", src.StoreCalls)
 	b.observableCounter("carobbend_log_lines_dropped", "Log lines dropped since the output was too slow.", src.DroppedLines)
 	b.observableFlag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
+	b.observeAccounts(&m.accounts, src.Allotments)
 	b.observeBreaches()
 	if b.err != nil {
 		return nil, &Error{Op: "new instrument", Err: b.err}
@@ -94,6 +99,11 @@
 	m.latency.Record(ctx, latency.Seconds(), o.record...)
 }
 
+// AccountAnswered implements forwarder.Recorder.
+func (m *Forward) AccountAnswered(account string, outcome forwarder.Outcome) {
+	m.accounts.add(account, outcome)
+}
+
 // Attempted implements forwarder.Recorder.
 func (m *Forward) Attempted(kind scatterer.AttemptKind, failure carobbend.FailureKind) {
 	o := cached(&m.byKind, attemptKey{kind, failure}, func() *recordOptions {
--- a/meter/forward_test.go
+++ b/meter/forward_test.go
@@ -1,6 +1,7 @@
 package meter
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/allotter"
 	"carobbend.example/carobbend/forwarder"
 	"carobbend.example/carobbend/scatterer"
 )
@@ -18,11 +20,15 @@
 	m, err := NewForward(ForwardSources{
 		StoreCalls: one, RoutingVersion: one, Upstreams: one, Connections: one, Opened: one, InFlight: one, Members: one,
 		DroppedLines: one, Ready: func() bool { return true },
+		Allotments: func() []allotter.Account {
+			return []allotter.Account{{Name: "a0", Rate: 46, Burst: 5, Share: 0.25, Granted: 0.1, FromReserve: 2}, {Name: "unseen"}}
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	m.Answered("search", forwarder.OutcomePartial, 20*time.Millisecond)
+	m.AccountAnswered("a0", forwarder.OutcomeOverLimit)
 	m.Attempted(scatterer.AttemptHedge, carobbend.FailureShed)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
@@ -31,10 +37,42 @@
 		`carobbend_attempts_total{failure="shed",kind="hedge"} 1`, "carobbend_upstream_connections 1",
 		"carobbend_upstream_connections_opened_total 1", "carobbend_store_calls_total 1", "carobbend_routing_version 1",
 		"carobbend_members 1", "carobbend_upstreams 1", "carobbend_ready 1", "carobbend_requests_in_flight 1",
-		"carobbend_log_lines_dropped_total 1",
+		"carobbend_log_lines_dropped_total 1", `carobbend_account_requests_total{account="a0",outcome="over-limit"} 1`,
+		`carobbend_account_rate{account="a0"} 46`, `carobbend_account_burst{account="a0"} 5`,
+		`carobbend_account_share{account="a0"} 0.25`, `carobbend_account_granted{account="a0"} 0.1`,
+		`carobbend_account_reserve_used_total{account="a0"} 2`,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("metrics lack %s", want)
 		}
 	}
 }
+
+// TestAccountsAreBounded guards against metrics that grow with the number of accounts, and against counters that decrease.
+func TestAccountsAreBounded(t *testing.T) {
+	var a accounts
+	last := map[string]int64{}
+	for round := 1; round <= 3; round++ {
+		for i := range round * maxCounted {
+			for range 1 + (i+round)%3 {
+				a.add(fmt.Sprint("a", i), forwarder.OutcomeComplete)
+			}
+		}
+		seen := map[string]int64{}
+		a.observe(func(account string, _ forwarder.Outcome, n int64) {
+			seen[account] += n
+		})
+		if len(seen) > maxAccounts+1 {
+			t.Errorf("round %d: got metrics of %d accounts, want at most %d and their sum", round, len(seen), maxAccounts)
+		}
+		for name, n := range last {
+			if seen[name] < n {
+				t.Errorf("round %d, account %s: got %d after %d", round, name, seen[name], n)
+			}
+		}
+		last = seen
+	}
+	if got := len(a.counts); got > maxCounted+1 {
+		t.Errorf("got %d accounts counted, want at most %d", got, maxCounted+1)
+	}
+}
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -26,6 +26,8 @@
 	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
 	// ExtraLoad bounds hedges and retries.
 	ExtraLoad ForwardExtraLoad `yaml:"extra-load"`
+	// Allotments bounds the requests of client accounts with a limit.
+	Allotments ForwardAllotments `yaml:"allotments"`
 }
 
 // ForwardListen holds IP addresses with ports.
@@ -50,11 +52,26 @@
 	Window time.Duration `yaml:"window" validate:"gte=1000000000"`
 }
 
+// ForwardAllotments bounds the requests of a client account in any window over all instances: the limit of the account in
+// the routing, exceeded by at most a fraction of it and a number of requests.
+type ForwardAllotments struct {
+	// Window is the time over which requests are counted.
+	Window time.Duration `yaml:"window" validate:"gte=1000000000"`
+	// Overage is the fraction of the limit by which it may be exceeded.
+	Overage float64 `yaml:"overage" validate:"gte=0,lte=1"`
+	// Slack is the number of requests by which it may be exceeded beyond that.
+	Slack float64 `yaml:"slack" validate:"gte=0"`
+}
+
 // Defaults of Forward.
 const (
 	defaultLease       = 2500 * time.Millisecond
 	defaultStopGrace   = 6 * time.Second
 	defaultExtraWindow = 10 * time.Second
+
+	defaultAllotmentWindow  = 5 * time.Second
+	defaultAllotmentOverage = 0.1
+	defaultAllotmentSlack   = 20
 )
 
 // ApplyDefaults sets the fields that the file leaves out.
@@ -68,6 +85,9 @@
 	if s.ExtraLoad.Window == 0 {
 		s.ExtraLoad.Window = defaultExtraWindow
 	}
+	if s.Allotments == (ForwardAllotments{}) {
+		s.Allotments = ForwardAllotments{defaultAllotmentWindow, defaultAllotmentOverage, defaultAllotmentSlack}
+	}
 }
 
 func (s *Forward) check() error { return validate(s) }
--- a/settings/forward_test.go
+++ b/settings/forward_test.go
@@ -40,6 +40,9 @@
 		{"out of range", "ratio: 0.2", "ratio: 2", "extra-load.ratio", 10},
 		{"short window", "  slack: 52", "  slack: 52\n  window: 5ns", "extra-load.window", 12},
 		{"negative", "cores: 0.4", "cores: -1", "cores", 8},
+		{"allotments", "cores: 0.4", "cores: 0.4\nallotments:\n  window: 5s\n  overage: 0.1\n  slack: 20", "", 0},
+		{"allotments without a window", "cores: 0.4", "cores: 0.4\nallotments:\n  slack: 20", "allotments.window", 10},
+		{"negative overage", "cores: 0.4", "cores: 0.4\nallotments:\n  window: 5s\n  overage: -1", "allotments.overage", 11},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			file := filepath.Join(t.TempDir(), "f.yaml")
@@ -48,7 +51,8 @@
 			}
 			got, err := LoadForward(file)
 			if c.line == 0 {
-				if err != nil || got.Lease != 2500*time.Millisecond || got.StopGrace != 6*time.Second || got.ExtraLoad.Window != 10*time.Second {
+				if err != nil || got.Lease != 2500*time.Millisecond || got.StopGrace != 6*time.Second || got.ExtraLoad.Window != 10*time.Second ||
+					got.Allotments != (ForwardAllotments{5 * time.Second, 0.1, 20}) {
 					t.Errorf("got %+v, %v, want the defaults", got, err)
 				}
 				return
--- a/steerer/reserve.go
+++ b/steerer/reserve.go
@@ -42,7 +42,7 @@
 // NeedOf returns how urgently the instance self must serve. It is NeedNow for large instances and for those that are
 // enrolled already, and otherwise depends on the number, capacity and load of the enrolled ones.
 func NeedOf(self carobbend.Instance, enrolled map[string]carobbend.Instance) Need {
-	if isLarge(self) {
+	if IsLarge(self) {
 		return NeedNow
 	}
 	if _, ok := enrolled[self.Name]; ok {
@@ -51,8 +51,8 @@
 	return needGiven(slices.Collect(maps.Values(enrolled)))
 }
 
-// isLarge reports whether an instance serves as soon as it starts. An instance of unknown capacity counts as large.
-func isLarge(x carobbend.Instance) bool { return x.Capacity == 0 || x.Capacity >= largeCapacity }
+// IsLarge reports whether an instance serves as soon as it starts. An instance of unknown capacity counts as large.
+func IsLarge(x carobbend.Instance) bool { return x.Capacity == 0 || x.Capacity >= largeCapacity }
 
 // needGiven returns the need for further instances given those that serve.
 func needGiven(serving []carobbend.Instance) Need {
@@ -80,7 +80,7 @@
 // Delay returns how long an instance waits for others to enrol before it checks again whether it is needed. random is
 // a number drawn from 0 to 1 that spreads the enrolment of instances in reserve.
 func Delay(self carobbend.Instance, need Need, random float64) time.Duration {
-	if isLarge(self) {
+	if IsLarge(self) {
 		return 0
 	}
 	spread := reserveDelay
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -117,7 +117,7 @@
 	}
 	large := make([]carobbend.Instance, 0, len(all))
 	for _, x := range all {
-		if isLarge(x) {
+		if IsLarge(x) {
 			large = append(large, x)
 		}
 	}
