--- a/feed.go
+++ b/feed.go
@@ -44,6 +44,8 @@
 	// UnusableUpstreams and UnusableInstances name the entries that can't be decoded. The last valid one stays in force.
 	UnusableUpstreams []string
 	UnusableInstances []string
+	// AllotmentOwners is nil if the store holds no such record.
+	AllotmentOwners *AllotmentOwners
 }
 
 // FeedChange is one change; exactly one of its fields is set.
@@ -51,6 +53,8 @@
 	Routing  *Routing
 	Upstream *UpstreamRecord
 	Instance *Instance
+	// AllotmentOwners is a new record of the owners of allotments.
+	AllotmentOwners *AllotmentOwners
 	// RemovedUpstream and RemovedInstance name entries that were removed.
 	RemovedUpstream string
 	RemovedInstance string
@@ -71,3 +75,21 @@
 	// Withdraw ends the lease, which removes the instance at once.
 	Withdraw(ctx context.Context) error
 }
+
+// AllotmentOwners is the record of the instances that own the allotments of all client accounts.
+type AllotmentOwners struct {
+	// Epoch rises by 1 with each record.
+	Epoch uint64 `json:"epoch"`
+	// Owners are names of instances. Former are the owners of the epoch before, empty in the first one.
+	Owners []string `json:"owners"`
+	Former []string `json:"former,omitempty"`
+	// Revision is that of the entry in the store, 0 if there is none.
+	Revision uint64 `json:"-"`
+}
+
+// AllotmentStore writes the record of owners. An error is a *StoreError.
+type AllotmentStore interface {
+	// WriteOwners writes the record if the entry's revision is still that of the record; 0 means that there is none. Its kind
+	// unavailable says that another write came first or that the call took no effect.
+	WriteOwners(ctx context.Context, record AllotmentOwners) error
+}
--- a/forwarder/restrictions_test.go
+++ b/forwarder/restrictions_test.go
@@ -30,6 +30,8 @@
 
 func (a *attempts) Answered(string, Outcome, time.Duration) {}
 
+func (a *attempts) AccountAnswered(string, Outcome) {}
+
 func (a *attempts) Attempted(kind scatterer.AttemptKind, failure carobbend.FailureKind) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/allotter"
 	"carobbend.example/carobbend/forwarder"
 	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/scatterer"
@@ -32,6 +33,8 @@
 	DataCentres func() []restrictor.DataCentreStatus
 	// Restricted returns the number of restricted upstreams by reason.
 	Restricted func() map[restrictor.Reason]int
+	// Allotments returns the state of the accounts with a limit; it may be nil.
+	Allotments func() []allotter.Account
 }
 
 // Forward records the events of a forwarding instance. It implements forwarder.Recorder and is safe for concurrent
@@ -41,6 +44,7 @@
 	requests metric.Int64Counter
 	latency  metric.Float64Histogram
 	attempts metric.Int64Counter
+	accounts accounts
 	byRoute  sync.Map
 	byKind   sync.Map
 }
@@ -69,6 +73,7 @@
 	b.observableFlag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
 	b.observeDataCentres(src.DataCentres)
 	b.observeRestricted(src.Restricted)
+	b.observeAccounts(&m.accounts, src.Allotments)
 	b.observeBreaches()
 	if b.err != nil {
 		return nil, &Error{Op: "new instrument", Err: b.err}
@@ -101,6 +106,11 @@
 	m.latency.Record(ctx, latency.Seconds(), o.record...)
 }
 
+// AccountAnswered implements forwarder.Recorder.
+func (m *Forward) AccountAnswered(account string, outcome forwarder.Outcome) {
+	m.accounts.add(account, outcome)
+}
+
 // Attempted implements forwarder.Recorder.
 func (m *Forward) Attempted(kind scatterer.AttemptKind, failure carobbend.FailureKind) {
 	o := cached(&m.byKind, attemptKey{kind, failure}, func() *recordOptions {
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -30,6 +30,8 @@
 	ExtraLoad ForwardExtraLoad `yaml:"extra-load"`
 	// FirstStart says that the whole system starts for the first time, so that no callers wait for it yet.
 	FirstStart bool `yaml:"first-start"`
+	// Allotments bounds the requests of client accounts with a limit.
+	Allotments ForwardAllotments `yaml:"allotments"`
 }
 
 // ForwardListen holds IP addresses with ports.
@@ -54,6 +56,17 @@
 	Window time.Duration `yaml:"window" validate:"gte=1000000000"`
 }
 
+// ForwardAllotments bounds the requests of a client account in any window over all instances: the limit of the account in
+// the routing, exceeded by at most a fraction of it and a number of requests.
+type ForwardAllotments struct {
+	// Window is the time over which requests are counted.
+	Window time.Duration `yaml:"window" validate:"gte=1000000000"`
+	// Overage is the fraction of the limit by which it may be exceeded.
+	Overage float64 `yaml:"overage" validate:"gte=0,lte=1"`
+	// Slack is the number of requests by which it may be exceeded beyond that.
+	Slack float64 `yaml:"slack" validate:"gte=0"`
+}
+
 // Defaults of Forward.
 const (
 	defaultLease     = 2500 * time.Millisecond
@@ -61,6 +74,10 @@
 	// defaultDrainTime is the shortest drain time of the known deployments.
 	defaultDrainTime   = 3 * time.Second
 	defaultExtraWindow = 10 * time.Second
+
+	defaultAllotmentWindow  = 5 * time.Second
+	defaultAllotmentOverage = 0.1
+	defaultAllotmentSlack   = 20
 )
 
 // ApplyDefaults sets the fields that the file leaves out.
@@ -77,6 +94,9 @@
 	if s.ExtraLoad.Window == 0 {
 		s.ExtraLoad.Window = defaultExtraWindow
 	}
+	if s.Allotments == (ForwardAllotments{}) {
+		s.Allotments = ForwardAllotments{defaultAllotmentWindow, defaultAllotmentOverage, defaultAllotmentSlack}
+	}
 }
 
 func (s *Forward) check() error { return validate(s) }
--- a/steerer/reserve.go
+++ b/steerer/reserve.go
@@ -46,7 +46,7 @@
 // NeedOf returns how urgently the instance self must serve. It is NeedNow for large instances and for those that are
 // enrolled already, and otherwise depends on the number, capacity and load of the enrolled ones.
 func NeedOf(self carobbend.Instance, enrolled map[string]carobbend.Instance) Need {
-	if isLarge(self) {
+	if IsLarge(self) {
 		return NeedNow
 	}
 	if _, ok := enrolled[self.Name]; ok {
@@ -55,13 +55,13 @@
 	return needGiven(slices.Collect(maps.Values(enrolled)))
 }
 
-// isLarge reports whether an instance serves as soon as it starts. An instance of unknown capacity counts as large.
-func isLarge(x carobbend.Instance) bool { return x.Capacity == 0 || x.Capacity >= largeCapacity }
+// IsLarge reports whether an instance serves as soon as it starts. An instance of unknown capacity counts as large.
+func IsLarge(x carobbend.Instance) bool { return x.Capacity == 0 || x.Capacity >= largeCapacity }
 
 // StartsInReserve reports whether a large instance starts in the reserve, from where it serves as soon as larger ones don't
 // suffice.
 func StartsInReserve(self carobbend.Instance, firstStart bool) bool {
-	return firstStart && isLarge(self) && self.Capacity > 0 && self.Capacity < firstStartCapacity
+	return firstStart && IsLarge(self) && self.Capacity > 0 && self.Capacity < firstStartCapacity
 }
 
 // needGiven returns the need for further instances given those that serve.
@@ -117,7 +117,7 @@
 // instances, enoughInDataCentre of them are kept, so that its callers aren't sent to another one.
 func largestSufficient(all []carobbend.Instance) []carobbend.Instance {
 	unknown := unknownCapacity(all)
-	large := slices.DeleteFunc(slices.Clone(all), func(x carobbend.Instance) bool { return !isLarge(x) })
+	large := slices.DeleteFunc(slices.Clone(all), func(x carobbend.Instance) bool { return !IsLarge(x) })
 	slices.SortStableFunc(large, func(a, b carobbend.Instance) int {
 		return cmp.Compare(capacityOf(b, unknown), capacityOf(a, unknown))
 	})
@@ -145,7 +145,7 @@
 // Delay returns how long an instance waits for others to enrol before it checks again whether it is needed. random is
 // a number drawn from 0 to 1 that spreads the enrolment of instances in reserve.
 func Delay(self carobbend.Instance, need Need, random float64) time.Duration {
-	if isLarge(self) {
+	if IsLarge(self) {
 		return 0
 	}
 	spread := reserveDelay
