Renew old tokens and report accounts beyond their limits

A request that upstreams refused for longer than the overage makes room for would have run in another window than its token; it now needs another token. Every 10 s at most five accounts with refusals are logged.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -21,6 +21,7 @@
 package allotter
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -325,12 +326,7 @@
 			Served: x.served, FromReserve: x.fromReserve, Refused: x.refused,
 		})
 	}
-	slices.SortFunc(out, func(p, q Account) int {
-		if p.Name < q.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(p, q Account) int { return cmp.Compare(p.Name, q.Name) })
 	return out
 }
 
--- a/allotter/election.go
+++ b/allotter/election.go
@@ -19,7 +19,7 @@
 	settleTime = 10 * time.Second
 	// firstWait is the time for which the first record waits for other instances that started at the same time, and fewWait
 	// the one for which it waits for enoughOwners instances.
-	firstWait = 700 * time.Millisecond
+	firstWait = 300 * time.Millisecond
 	fewWait   = 1500 * time.Millisecond
 	// turnTime is the time after which the next instance writes a record that is due and was not written.
 	turnTime = 1500 * time.Millisecond
--- a/allotter/faults_test.go
+++ b/allotter/faults_test.go
@@ -44,7 +44,7 @@
 
 func newLoad(seed uint64, rate float64) *load {
 	a := carobbend.Account{Name: "a", Rate: rate, Burst: rate}
-	return &load{f: newFleet(seed, 8, a), account: a}
+	return &load{f: newFleet(seed, a), account: a}
 }
 
 // TestSurge guards against an account that gets much less than its allotment while it sends 7.5 times its usual rate for 6.5 s
--- a/allotter/fleet_test.go
+++ b/allotter/fleet_test.go
@@ -36,6 +36,7 @@
 	testSlack   = 20.0
 	testOverage = 0.1
 	tickTime    = 100 * time.Millisecond
+	fleetSize   = 8
 	// streamBytes is what a request and its reply take on a link beside their bodies: headers of the stream and of the frames.
 	streamBytes = 120
 )
@@ -46,9 +47,9 @@
 	}
 }
 
-func newFleet(seed uint64, n int, accounts ...carobbend.Account) *fleet {
+func newFleet(seed uint64, accounts ...carobbend.Account) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), instances: map[string]*Allotter{}, cut: map[string]bool{}}
-	for i := range n {
+	for i := range fleetSize {
 		f.names = append(f.names, fmt.Sprintf("i%d", i))
 	}
 	f.record = &carobbend.AllotmentOwners{Epoch: 1, Owners: f.names}
@@ -140,7 +141,7 @@
 			account := carobbend.Account{Name: "a", Rate: c.rate, Burst: c.rate}
 			served, refused := 0, 0
 			for seed := range uint64(4) {
-				f := newFleet(seed, 8, account)
+				f := newFleet(seed, account)
 				f.run(10*time.Second, true, func(time.Duration) {})
 				var runs []time.Duration
 				f.run(200*time.Second, true, func(now time.Duration) {
@@ -177,7 +178,7 @@
 		}
 		accounts = append(accounts, carobbend.Account{Name: fmt.Sprint("a", i), Rate: rate, Burst: rate})
 	}
-	f := newFleet(1, 8, accounts...)
+	f := newFleet(1, accounts...)
 	f.run(10*time.Second, true, func(time.Duration) {})
 	if f.messages > 0 {
 		t.Errorf("without requests: got %d messages, want none", f.messages)
@@ -203,3 +204,34 @@
 		t.Errorf("got %d bytes a second, want at most 3000", perInstance)
 	}
 }
+
+func BenchmarkTake(b *testing.B) {
+	account := carobbend.Account{Name: "a", Rate: 46, Burst: 46}
+	f := newFleet(1, account)
+	f.run(10*time.Second, true, func(time.Duration) {})
+	a := f.instances["i0"]
+	for b.Loop() {
+		f.now += 10 * time.Microsecond
+		a.Take(f.now, &account)
+	}
+}
+
+// BenchmarkTick measures a tick of one instance with 80 accounts in use, and its part of answering the requests of others.
+func BenchmarkTick(b *testing.B) {
+	accounts := make([]carobbend.Account, 0, 80)
+	for i := range 80 {
+		accounts = append(accounts, carobbend.Account{Name: fmt.Sprint("a", i), Rate: 1.5, Burst: 1.5})
+	}
+	f := newFleet(1, accounts...)
+	f.run(10*time.Second, true, func(time.Duration) {})
+	for b.Loop() {
+		f.run(f.now+tickTime, true, func(now time.Duration) {
+			for i := range accounts {
+				for range f.poisson(0.9 * 0.01) {
+					f.instances[f.names[2*(i%4)+f.rng.IntN(2)]].Take(now, &accounts[i])
+				}
+			}
+		})
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(len(f.names)), "us/instance-tick")
+}
--- a/allotter/runner.go
+++ b/allotter/runner.go
@@ -1,7 +1,9 @@
 package allotter
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,9 @@
 const (
 	// tickInterval is the time between two checks whether parts are to be asked for.
 	tickInterval = 100 * time.Millisecond
+	// reportInterval is the time between two reports of accounts beyond their limits, and maxReported the number of accounts in one.
+	reportInterval = 10 * time.Second
+	maxReported    = 5
 	// writeTimeout bounds a write of the record of owners.
 	writeTimeout = time.Second
 )
@@ -102,6 +107,7 @@
 // Run asks for parts and maintains the record of owners until ctx ends. Without limited accounts it does neither.
 func (r *Runner) Run(ctx context.Context) error {
 	listed := false
+	var refusals refusalReport
 	for sleeper.Sleep(ctx, tickInterval) {
 		if !r.core.Limited() {
 			listed = false
@@ -121,10 +127,49 @@
 			}
 		}
 		r.maintainRecord(ctx)
+		if now := r.now(); refusals.due(now) {
+			for _, x := range refusals.next(r.core.Accounts(now)) {
+				r.log.Info("account beyond its limit", "account", x.Name, "refused", x.Refused, "served", x.Served,
+					"rate", x.Rate, "burst", x.Burst, "share", x.Share, "granted", x.Granted, "seconds", reportInterval.Seconds())
+			}
+		}
 	}
 	return ctx.Err()
 }
 
+// refusalReport determines which accounts were refused most since the last report.
+type refusalReport struct {
+	last    map[string]Account
+	started bool
+	at      time.Duration
+}
+
+// due reports whether a report is due.
+func (p *refusalReport) due(now time.Duration) bool {
+	if p.started && now < p.at+reportInterval {
+		return false
+	}
+	p.started, p.at = true, now
+	return true
+}
+
+// next returns the accounts with most refusals since the last report, with the numbers since then.
+func (p *refusalReport) next(accounts []Account) []Account {
+	var out []Account
+	last := p.last
+	p.last = make(map[string]Account, len(accounts))
+	for _, x := range accounts {
+		p.last[x.Name] = x
+		x.Refused -= last[x.Name].Refused
+		x.Served -= last[x.Name].Served
+		if x.Refused > 0 {
+			out = append(out, x)
+		}
+	}
+	slices.SortFunc(out, func(p, q Account) int { return cmp.Or(cmp.Compare(q.Refused, p.Refused), cmp.Compare(p.Name, q.Name)) })
+	return out[:min(len(out), maxReported)]
+}
+
 // ask sends one request for parts. There is at most one at a time for each owner.
 func (r *Runner) ask(ctx context.Context, q Request) {
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
--- a/allotter/runner_test.go
+++ b/allotter/runner_test.go
@@ -182,3 +182,22 @@
 		}
 	}
 }
+
+// TestRefusalReportIsBounded guards against a log line for each of many accounts, and against one for refusals that were reported.
+func TestRefusalReportIsBounded(t *testing.T) {
+	var p refusalReport
+	accounts := make([]Account, 100)
+	for i := range accounts {
+		accounts[i] = Account{Name: fmt.Sprint(i), Refused: int64(i)}
+	}
+	if got := p.next(accounts); len(got) != maxReported || got[0].Name != "99" {
+		t.Errorf("got %d accounts, the first %+v, want %d and 99", len(got), got[0], maxReported)
+	}
+	accounts[3].Refused++
+	if got := p.next(accounts); len(got) != 1 || got[0].Name != "3" || got[0].Refused != 1 {
+		t.Errorf("got %+v, want one refusal of account 3", got)
+	}
+	if !p.due(0) || p.due(reportInterval-1) || !p.due(reportInterval) {
+		t.Error("got a report at another time than once an interval")
+	}
+}
--- a/forwarder/account_test.go
+++ b/forwarder/account_test.go
@@ -278,3 +278,26 @@
 		}
 	}
 }
+
+// TestOldTokenIsRenewed guards against a request that runs long after its token was taken, since upstreams refused it for a while:
+// it would count in another window.
+func TestOldTokenIsRenewed(t *testing.T) {
+	tr, _ := accountTier(t, carobbend.Account{Name: "shop", Keys: []string{"k1"}, Rate: 1, Burst: 1})
+	for _, id := range []string{"s1", "s2"} {
+		tr.upstream(t, "shedding", id, "", func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			time.Sleep(tokenValidity + 50*time.Millisecond)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	route := order(false)
+	route.Prefix, route.Split = "/r/", []carobbend.WeightedService{{Service: "shedding", Weight: 1}}
+	tr.route(route)
+	allotments := &fakeAllotments{tokens: 1}
+	tr.Allotments = allotments
+	got := tr.callWith(t, "/r/", nil, "Authorization", "Bearer k1")
+	if asked := tr.runsOf("s1") + tr.runsOf("s2"); got != 429 || asked != 1 || allotments.tokens != 0 {
+		t.Errorf("got %d after %d attempts, %d tokens left, want 429 after 1 and 0", got, asked, allotments.tokens)
+	}
+}
--- a/forwarder/decide.go
+++ b/forwarder/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/authenticator"
@@ -71,61 +70,3 @@
 	}
 	return b
 }
-
-// tokenReturnTime is the time within which the token of a request that didn't run is given back. Later ones would count in
-// another window than that in which they were taken.
-const tokenReturnTime = 400 * time.Millisecond
-
-// isLimited reports whether the request needs a token of its account.
-func (q *query) isLimited() bool {
-	return q.f.Allotments != nil && q.account != nil && q.account.Limited()
-}
-
-// countForRetries counts the request for the retry budget of its services, once. Requests of limited accounts count only with a
-// token: otherwise an account beyond its limit would raise the budget.
-func (q *query) countForRetries() {
-	if !q.counted {
-		q.counted = true
-		q.f.RetryBudget.Requested(q.began, q.services...)
-	}
-}
-
-// checkLimit refuses a request beyond the limit of its account before its body is read.
-func (q *query) checkLimit(body bool) *refusal {
-	if !body || !q.isLimited() {
-		return nil
-	}
-	if after, ok := q.f.Allotments.Check(q.account); !ok {
-		return overLimit(after)
-	}
-	return nil
-}
-
-// takeToken takes a token for a request of a limited account.
-func (q *query) takeToken() *refusal {
-	if !q.isLimited() {
-		q.countForRetries()
-		return nil
-	}
-	after, ok := q.f.Allotments.Take(q.account)
-	if !ok {
-		return overLimit(after)
-	}
-	q.tokenTaken = time.Now()
-	q.countForRetries()
-	return nil
-}
-
-func overLimit(after time.Duration) *refusal {
-	return &refusal{http.StatusTooManyRequests, OutcomeOverLimit, "the account is beyond its limit", after}
-}
-
-// returnToken gives the token of a request back if no upstream was asked, or none of those that were ran it.
-func (q *query) returnToken() {
-	if q.tokenTaken.IsZero() || q.scatter != nil && q.scatter.Runs() > 0 || time.Since(q.tokenTaken) > tokenReturnTime {
-		return
-	}
-	if q.outcome == OutcomeNotRun {
-		q.f.Allotments.Return(q.account)
-	}
-}
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -29,8 +29,10 @@
 	account *carobbend.Account
 	// priority is the rank of the request, 0 first.
 	priority int
-	// tokenTaken is when a token of a limited account was taken; the zero time says that none was.
-	tokenTaken time.Time
+	// tokenTaken is when a token of a limited account was taken on the boot-time clock, 0 if none was.
+	tokenTaken time.Duration
+	// limitRefusal is set if the request needed another token and got none.
+	limitRefusal *refusal
 	// counted says that the request counts for the retry budget.
 	counted  bool
 	deadline time.Time
@@ -130,6 +132,9 @@
 					return late
 				}
 			}
+			if !q.renewToken() {
+				return gatherer.Step{Action: gatherer.Fail}
+			}
 			for _, a := range step.Launch {
 				q.attempt(ctx, now, a)
 			}
@@ -366,6 +371,8 @@
 // deadline passed, or that attempts failed.
 func (q *query) fail(ctx context.Context, w http.ResponseWriter, reason gatherer.Reason) {
 	switch {
+	case q.scatter.Runs() == 0 && q.limitRefusal != nil:
+		q.respond(w, q.limitRefusal)
 	case q.scatter.Runs() == 0:
 		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", retryAfter})
 	case !q.isFanOut() && q.upstreamFailure != nil:
