Bound the requests of all instances to cold upstreams

A service can state that a cold upstream takes warmup_per_s requests a second from all instances together. Nothing kept to that.

The restrictor learns from entries (warmup_left_ms, a new start) and replies (X-Warmup-Ms) which upstreams are cold. Each instance deals the bound out over its own list of instances, in rendezvous order, and takes its part. The follower reports how old the state is that each answer confirms.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -112,8 +112,10 @@
 	x.forwarder = forwarder.New(forwarder.Config{
 		Headers: headers, Router: &x.router, Upstreams: &x.upstreams, Balancer: x.balancer, Exchanger: x.exchanger,
 		RetryBudget: x.retryBudget, Hedger: hedger.New(), Instances: x.selector.InstanceCount,
-		Restrictor: &restrictor.Restrictor{DrainTime: cfg.DrainTime},
-		OnResume:   x.onResume, AwaitRouting: x.awaitRouting,
+		Restrictor: &restrictor.Restrictor{
+			DrainTime: cfg.DrainTime, Warmup: restrictor.Warmup{Overage: cfg.Warmup.Overage, Slack: cfg.Warmup.Slack},
+		},
+		OnResume: x.onResume, AwaitRouting: x.awaitRouting,
 		Memory: limiter.NewBytes(int64(requestMemoryFraction * float64(cfg.MemoryMB) * (1 << 20))),
 	})
 	x.store = platform.NewStore(cfg.Store)
@@ -138,6 +140,7 @@
 func (x *forwardInstance) setFeed(feed carobbend.Feed) {
 	x.follower = follower.New(feed, follower.Handlers{
 		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances, Evacuated: x.forwarder.SetEvacuated,
+		Confirmed:  x.forwarder.ConfirmInstances,
 		StoreState: x.relay.SetStoreState,
 	})
 	x.enroller.OnFailure(x.follower.Probe)
@@ -186,6 +189,9 @@
 }
 
 func (x *forwardInstance) applyRouting(r *carobbend.Routing) bool {
+	if t := x.router.Table(); t == nil || r.Version > t.Version() {
+		x.forwarder.UpdateServices(r.Services)
+	}
 	ok := x.router.Apply(r)
 	if ok {
 		x.routingReadyOnce.Do(func() { close(x.routingReady) })
@@ -226,6 +232,7 @@
 	} else if own, ok := instances[x.self.Name]; (!ok || own.Incarnation != x.self.Incarnation) && !x.isDraining() {
 		x.enroller.Reannounce()
 	}
+	x.forwarder.UpdateInstances(x.self, instances)
 	x.relay.Update(instances)
 	before := x.selector.InstanceCount()
 	x.selector.Update(instances)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -39,6 +39,8 @@
 	Load string
 	// Leaving is present in the replies of an upstream that will stop soon.
 	Leaving string
+	// Warmup holds the number of milliseconds for which the upstream is still cold.
+	Warmup string
 }
 
 // Target is an upstream to send to.
--- a/exchanger/notice.go
+++ b/exchanger/notice.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// maxRetryAfter bounds Notice.RetryAfter, so that the conversion to a duration doesn't overflow.
-const maxRetryAfter = 24 * time.Hour
+// maxTime bounds the times in a Notice, so that the conversion to a duration doesn't overflow.
+const maxTime = 24 * time.Hour
 
 // Notice is what the head of a reply says about its upstream, rather than about the request.
 type Notice struct {
@@ -20,6 +20,8 @@
 	RetryAfter time.Duration
 	// InvalidRetryAfter is a Retry-After that isn't a number of seconds of 0 or more.
 	InvalidRetryAfter string
+	// WarmupLeft is for how long the upstream says that it is still cold, at most a day; 0 if it didn't say.
+	WarmupLeft time.Duration
 }
 
 // notice returns the notice of a reply. A time in Retry-After is that of the upstream only in a refusal with 503.
@@ -28,8 +30,11 @@
 	if v := m.Header.Get(x.headers.Leaving); v != "" && v != "0" {
 		n.Leaving = true
 	}
+	if v := m.Header.Get(x.headers.Warmup); v != "" {
+		n.WarmupLeft, _ = parseTime(v, time.Millisecond)
+	}
 	if v := m.Header.Get("Retry-After"); v != "" && m.StatusCode == http.StatusServiceUnavailable {
-		if d, ok := parseRetryAfter(v); ok {
+		if d, ok := parseTime(v, time.Second); ok {
 			n.RetryAfter = d
 		} else {
 			n.InvalidRetryAfter = v
@@ -38,11 +43,11 @@
 	return n
 }
 
-// parseRetryAfter parses a number of seconds with an optional fraction.
-func parseRetryAfter(s string) (time.Duration, bool) {
+// parseTime parses a number of units of 0 or more, with an optional fraction.
+func parseTime(s string, unit time.Duration) (time.Duration, bool) {
 	v, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
 	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(v) || v < 0 {
 		return 0, false
 	}
-	return time.Duration(min(v, maxRetryAfter.Seconds()) * float64(time.Second)), true
+	return time.Duration(min(v, float64(maxTime/unit)) * float64(unit)), true
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -23,6 +23,7 @@
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/registrar"
 	"carobbend.example/carobbend/sleeper"
+	"carobbend.example/carobbend/timekeeper"
 )
 
 const (
@@ -67,6 +68,9 @@
 	// Evacuated receives the evacuated data centres. It is called before the handlers that receive what was read with them,
 	// and may be nil.
 	Evacuated func([]carobbend.DataCentre)
+	// Confirmed is called after the other handlers have received all changes that the store had acknowledged when a call was
+	// sent, the given time ago. It isn't called while removals of instances are deferred, and may be nil.
+	Confirmed func(age time.Duration)
 	// StoreState receives the revision up to which the feed was followed, before the handlers receive the changes up to
 	// it, and is also called when the store is lost. It may be nil.
 	StoreState func(revision uint64, storeLost bool)
@@ -211,6 +215,7 @@
 		case <-stop:
 		}
 	}()
+	age := callAge()
 	changes, next, err := f.feed.Changes(ctx, f.scope, f.revision, wait)
 	if err != nil {
 		if interrupted.Load() {
@@ -222,6 +227,7 @@
 	f.revision = max(f.revision, next)
 	f.recordSuccess(now)
 	f.applyChanges(now, changes)
+	f.confirm(age())
 	return len(changes) > 0, nil
 }
 
@@ -250,6 +256,7 @@
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	age := callAge()
 	l, err := f.feed.List(ctx, f.scope)
 	if err != nil {
 		return err
@@ -266,6 +273,7 @@
 	f.log.Info("full state read", "revision", l.Revision, "upstreams", len(l.Upstreams), "instances", len(l.Instances),
 		"evacuated", len(l.Evacuated), "removals-held", f.heldRemovals())
 	f.publish(f.scope == carobbend.ScopeAll, true)
+	f.confirm(age())
 	if l.Routing != nil {
 		// The routing comes last, since requests are served as soon as it is known.
 		f.applyRouting(l.Routing)
@@ -273,6 +281,18 @@
 	return nil
 }
 
+// callAge returns a function that returns the time since this call, which includes suspensions of the machine.
+func callAge() func() time.Duration {
+	began, suspended := time.Now(), timekeeper.Suspended()
+	return func() time.Duration { return time.Since(began) + timekeeper.Suspended() - suspended }
+}
+
+func (f *Follower) confirm(age time.Duration) {
+	if f.handlers.Confirmed != nil && f.scope == carobbend.ScopeAll && f.instances.HeldRemovals() == 0 {
+		f.handlers.Confirmed(age)
+	}
+}
+
 func (f *Follower) applyChanges(now time.Time, changes []carobbend.FeedChange) {
 	f.applyEvacuations(now, changes)
 	upstreams, instances := false, false
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -248,3 +248,55 @@
 		}
 	})
 }
+
+// TestConfirmations guards against a confirmation of the list of instances while the store is silent, or without the time for which
+// a watch waited, and against confirmations too far apart for an instance to keep its part of the requests to cold upstreams.
+func TestConfirmations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newSilentFeed()
+		var confirmed []time.Time
+		var mu sync.Mutex
+		fo := New(feed, Handlers{
+			Routing:   func(*carobbend.Routing) bool { return true },
+			Upstreams: func(map[string]carobbend.UpstreamRecord) {},
+			Instances: func(map[string]carobbend.Instance) {},
+			Confirmed: func(age time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				confirmed = append(confirmed, time.Now(), time.Now().Add(-age))
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- fo.Run(ctx) }()
+		time.Sleep(20 * time.Second)
+		feed.set(true, 1)
+		silence := time.Now()
+		time.Sleep(20 * time.Second)
+		feed.set(false, 2)
+		regained := time.Now()
+		time.Sleep(5 * time.Second)
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("run: got %v, want canceled", err)
+		}
+		// A process that sends to cold upstreams needs answers that are at most this far from the call before.
+		const longest = 7500 * time.Millisecond
+		during := 0
+		for i := 2; i < len(confirmed); i += 2 {
+			at, before := confirmed[i], confirmed[i-1]
+			if at.After(silence) && at.Before(regained) {
+				during++
+			}
+			if gap := at.Sub(before); gap > longest && at.Before(silence) {
+				t.Errorf("confirmed %v after the call before was sent, want at most %v", gap, longest)
+			}
+		}
+		if first := confirmed[3]; !first.Before(confirmed[2]) {
+			t.Errorf("watch: got a confirmation as of its answer, want as of its start")
+		}
+		if during > 0 || len(confirmed) < 8 || confirmed[len(confirmed)-2].Before(regained) {
+			t.Errorf("got %d confirmations during the silence, %d in all, want 0 and some afterwards", during, len(confirmed)/2)
+		}
+	})
+}
--- a/forwarder/restrictions.go
+++ b/forwarder/restrictions.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -47,13 +48,33 @@
 // bootTime returns the time on a clock that includes the time for which the machine was suspended.
 func (f *Forwarder) bootTime() time.Time { return time.Now().Add(f.Suspended()) }
 
-// UpdateRestrictions drops the restrictions of processes that the records of all upstreams show to be gone.
+// UpdateRestrictions takes the records of all upstreams: it notes those that became cold, and drops the restrictions of processes
+// that are gone. It is called before these records are used.
 func (f *Forwarder) UpdateRestrictions(records []carobbend.UpstreamRecord) {
 	byID := make(map[carobbend.UpstreamID]carobbend.UpstreamRecord, len(records))
 	for _, u := range records {
 		byID[u.ID] = u
 	}
-	f.Restrictor.Update(f.bootTime(), byID)
+	for _, u := range f.Restrictor.Update(f.bootTime(), byID) {
+		f.log.notice("upstream is cold", u, "left-ms", u.WarmupLeft.Milliseconds())
+	}
+}
+
+// UpdateServices takes the services of a routing before it is used.
+func (f *Forwarder) UpdateServices(services []carobbend.Service) {
+	f.Restrictor.SetServices(f.bootTime(), services)
+}
+
+// UpdateInstances takes the list of instances, among which the requests to a cold upstream are divided.
+func (f *Forwarder) UpdateInstances(self carobbend.Instance, instances map[string]carobbend.Instance) {
+	own, ok := instances[self.Name]
+	f.Restrictor.SetInstances(f.bootTime(), self.Name, ok && own.Incarnation == self.Incarnation, slices.Collect(maps.Keys(instances)))
+}
+
+// ConfirmInstances records that the list of instances holds all changes that the store had acknowledged the given time ago.
+func (f *Forwarder) ConfirmInstances(age time.Duration) {
+	now := f.bootTime()
+	f.Restrictor.Confirm(now, now.Add(-age))
 }
 
 // Restricted returns the number of restricted upstreams by reason, without those in evacuated data centres.
@@ -88,6 +109,9 @@
 	if n.Leaving && p.f.Restrictor.ObserveLeaving(p.f.bootTime(), p.record) {
 		p.f.log.notice("upstream announced that it is leaving", p.record)
 	}
+	if n.WarmupLeft > 0 {
+		p.f.Restrictor.ObserveWarmup(p.f.bootTime(), p.record, n.WarmupLeft)
+	}
 	if n.RetryAfter > 0 {
 		if d := p.f.Restrictor.ObserveRetryAfter(p.f.bootTime(), p.record, n.RetryAfter); d > 0 {
 			p.f.log.notice("upstream asked for a pause", p.record, "asked-ms", n.RetryAfter.Milliseconds(), "pause-ms", d.Milliseconds())
--- a/forwarder/restrictions_test.go
+++ b/forwarder/restrictions_test.go
@@ -298,3 +298,60 @@
 		t.Errorf("requests to the paused upstream: got %d, want the first alone", got)
 	}
 }
+
+// TestColdUpstreamIsBounded guards against more requests to a cold upstream than the bound, also as retries and hedges, against
+// callers that wait for it, and against a bound on the upstreams of a service without one.
+func TestColdUpstreamIsBounded(t *testing.T) {
+	tr := newTier(t)
+	pass := tr.suspend()
+	tr.Restrictor.Warmup.Overage = 1
+	self := carobbend.Instance{Name: "edge-1", Incarnation: "i"}
+	tr.UpdateInstances(self, map[string]carobbend.Instance{"edge-1": self})
+	tr.ConfirmInstances(0)
+	for range 6 {
+		pass(3 * time.Second)
+		tr.ConfirmInstances(3 * time.Second)
+	}
+	const rate, calls = 4, 12
+	tr.upstream(t, "a", "a1", "", proof)
+	tr.routing.Services = []carobbend.Service{{Name: "a", WarmupRate: rate, WarmupTime: time.Hour}}
+	tr.UpdateServices(tr.routing.Services)
+	tr.route(order(true))
+	tr.records[0].WarmupLeft = time.Minute
+	tr.UpdateRestrictions(tr.records)
+	served := func() (n int) {
+		for range calls {
+			resp, _ := tr.call(t, "GET", "/o/1", "")
+			s, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+			switch {
+			case resp.status == http.StatusOK:
+				n++
+			case resp.status != http.StatusServiceUnavailable || err != nil || s <= 0 || s > 1.5:
+				t.Errorf("got %d, Retry-After %v, %v, want 503 and a time of at most 1.5 s", resp.status, s, err)
+			}
+		}
+		return n
+	}
+	began := time.Now()
+	got := served()
+	if most := rate * (1 + int(time.Since(began)/time.Second)); got < rate || got > most || tr.runsOf("a1") != int64(got) {
+		t.Errorf("cold: got %d served, %d sent, want %d to %d", got, tr.runsOf("a1"), rate, most)
+	}
+	cold := tr.runsOf("a1")
+	pass(2 * time.Second)
+	tr.ConfirmInstances(0)
+	tr.upstream(t, "a", "a2", "", proof)
+	tr.UpdateRestrictions(tr.records)
+	tr.UpdateServices([]carobbend.Service{{Name: "a", WarmupRate: rate, WarmupTime: 0}})
+	if got := served(); got != calls {
+		t.Errorf("beside a warm one: got %d served, want all %d", got, calls)
+	}
+	if most := rate * (1 + int(time.Since(began)/time.Second)); tr.runsOf("a1")-cold > int64(most) {
+		t.Errorf("beside a warm one: got %d requests to the cold one, want at most %d", tr.runsOf("a1")-cold, most)
+	}
+	tr.upstreams.Update(tr.records[:1])
+	tr.UpdateServices(nil)
+	if got := served(); got != calls {
+		t.Errorf("without a bound: got %d served, want all %d", got, calls)
+	}
+}
--- a/restrictor/restrictor.go
+++ b/restrictor/restrictor.go
@@ -1,6 +1,6 @@
 // Package restrictor decides to which upstreams an instance may send requests, beyond what the list of upstreams says: none
 // go to a data centre that is evacuated, to an upstream that asked for a pause, or to one that announced a while ago that it is
-// leaving.
+// leaving, and those to a cold upstream are bounded over all instances.
 //
 // The decision is asked twice for each attempt: when its candidates are formed (Filter), and right before its request is
 // written to a connection (Permit), since it may have waited for one while a restriction began.
@@ -42,6 +42,8 @@
 	Leaving Reason = "leaving"
 	// Paused says that the upstream asked for a pause.
 	Paused Reason = "paused"
+	// Cold says that the upstream is cold and this instance has used up its part of the requests that it may get.
+	Cold Reason = "cold"
 )
 
 // unknownRetryAfter is the time after which a caller may come back that was refused because of a restriction whose end isn't
@@ -56,6 +58,8 @@
 	// DrainTime is the time within which requests to an upstream must end after it announced that it is leaving; 0 means
 	// DefaultDrainTime. It is set before the first use.
 	DrainTime time.Duration
+	// Warmup bounds the requests to cold upstreams. It is set before the first use.
+	Warmup Warmup
 
 	// active is set while there may be a restriction, so that Filter costs nothing without one.
 	active atomic.Bool
@@ -65,6 +69,10 @@
 	upstreams   map[carobbend.UpstreamID]*upstream
 	// droppedAt is when the upstreams without restrictions were last dropped.
 	droppedAt time.Time
+	services  map[string]carobbend.Service
+	share     share
+	// known holds the upstreams of the last update; nil before the first one.
+	known map[carobbend.UpstreamID]knownRecord
 }
 
 // dataCentre is the state of one data centre.
@@ -161,6 +169,8 @@
 		return None
 	case s.isPaused(now, u):
 		return Paused
+	case r.isCold(now, u) && r.coldWait(now, u) > 0:
+		return Cold
 	case s.isLeaving(u):
 		return Leaving
 	default:
@@ -191,7 +201,7 @@
 			if r.mayUseLeaving(now, id) {
 				leaving = append(leaving, id)
 			}
-		case Evacuated, Paused:
+		case Evacuated, Paused, Cold:
 		}
 	}
 	if len(allowed) == 0 {
@@ -235,6 +245,8 @@
 			return 0
 		}
 		return unknownRetryAfter
+	case Cold:
+		return r.coldWait(now, u)
 	default:
 		return 0
 	}
@@ -248,6 +260,7 @@
 	if reason := r.reason(now, u); reason != None && (reason != Leaving || !r.mayUseLeaving(now, u.ID)) {
 		return reason
 	}
+	r.take(now, u)
 	r.dataCentre(u.DataCentre).inFlight++
 	return None
 }
--- a/restrictor/upstream.go
+++ b/restrictor/upstream.go
@@ -26,6 +26,9 @@
 type upstream struct {
 	leaving leaving
 	pause   pause
+	cold    cold
+	// service is the upstream's service, as far as it was needed.
+	service string
 	// goneSince is when the record of the upstream was first missing; zero while it is there.
 	goneSince time.Time
 }
@@ -66,9 +69,9 @@
 	return now.Before(s.pause.until) && !s.pause.replacedBy(u)
 }
 
-// isEmpty reports whether the state holds nothing that may still restrict.
-func (s *upstream) isEmpty(now time.Time) bool {
-	return s.leaving.since.IsZero() && !now.Before(s.pause.until)
+// isEmpty reports whether a state holds nothing that may still restrict; r.mu must be held.
+func (r *Restrictor) isEmpty(now time.Time, s *upstream) bool {
+	return s.leaving.since.IsZero() && !now.Before(s.pause.until) && !now.Before(r.coldUntil(s))
 }
 
 // upstream returns the state of an upstream; r.mu must be held.
@@ -132,15 +135,16 @@
 	}
 	r.droppedAt = now
 	for id, s := range r.upstreams {
-		if s.isEmpty(now) {
+		if r.isEmpty(now, s) {
 			delete(r.upstreams, id)
 		}
 	}
 	r.updateActive()
 }
 
-// Update takes the records of all upstreams and drops what it knew about processes that they show to be gone.
-func (r *Restrictor) Update(now time.Time, records map[carobbend.UpstreamID]carobbend.UpstreamRecord) {
+// Update takes the records of all upstreams and drops what it knew about processes that they show to be gone. It returns the
+// upstreams that became cold.
+func (r *Restrictor) Update(now time.Time, records map[carobbend.UpstreamID]carobbend.UpstreamRecord) []carobbend.UpstreamRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, s := range r.upstreams {
@@ -158,15 +162,17 @@
 			s.leaving = leaving{}
 		}
 	}
+	became := r.updateCold(now, records)
 	r.droppedAt = time.Time{}
 	r.dropEnded(now)
+	return became
 }
 
-// Counts returns the number of upstreams that are leaving or paused.
+// Counts returns the number of upstreams that are leaving, paused or cold.
 func (r *Restrictor) Counts(now time.Time) map[Reason]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := map[Reason]int{Leaving: 0, Paused: 0}
+	n := map[Reason]int{Leaving: 0, Paused: 0, Cold: 0}
 	for _, s := range r.upstreams {
 		if !s.goneSince.IsZero() {
 			continue
@@ -177,6 +183,9 @@
 		if now.Before(s.pause.until) {
 			n[Paused]++
 		}
+		if r.services[s.service].WarmupRate > 0 && now.Before(r.coldUntil(s)) {
+			n[Cold]++
+		}
 	}
 	return n
 }
--- a/routing.go
+++ b/routing.go
@@ -53,6 +53,10 @@
 	Name string
 	// MaxConns is the number of connections that each upstream accepts from all instances together.
 	MaxConns int
+	// WarmupTime is how long an upstream is cold after its start, WarmupRate the number of requests a second that all instances
+	// together should send to a cold one; 0 means no bound.
+	WarmupTime time.Duration
+	WarmupRate float64
 }
 
 // CallerLimits bound what a caller may send; 0 means no bound.
@@ -76,4 +80,8 @@
 	// StartedMs is the start of the process in Unix milliseconds, 0 where unknown. Another value under the same id means
 	// a new process, which doesn't know the requests of the old one.
 	StartedMs int64
+	// WarmupLeft is for how long the upstream said that it is still cold when it wrote the record; 0 if it isn't.
+	WarmupLeft time.Duration
+	// Sequence is increased by the upstream with each record that it writes.
+	Sequence int64
 }
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -26,6 +26,8 @@
 	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
 	// DrainTime is the time after which nothing is sent to an upstream that announced that it is leaving.
 	DrainTime time.Duration `yaml:"drain-time" validate:"gte=0"`
+	// Warmup bounds the requests to cold upstreams.
+	Warmup ForwardWarmup `yaml:"warmup"`
 	// ExtraLoad bounds hedges and retries.
 	ExtraLoad ForwardExtraLoad `yaml:"extra-load"`
 }
@@ -52,6 +54,13 @@
 	Window time.Duration `yaml:"window" validate:"gte=1000000000"`
 }
 
+// ForwardWarmup bounds the requests that all instances together send to a cold upstream in any second: Overage times the rate
+// that its service states, and Slack.
+type ForwardWarmup struct {
+	Overage float64 `yaml:"overage" validate:"gte=0"`
+	Slack   float64 `yaml:"slack" validate:"gte=0"`
+}
+
 // Defaults of Forward.
 const (
 	defaultLease     = 2500 * time.Millisecond
@@ -72,6 +81,9 @@
 	if s.DrainTime == 0 {
 		s.DrainTime = defaultDrainTime
 	}
+	if s.Warmup.Overage == 0 {
+		s.Warmup.Overage = 1
+	}
 	if s.ExtraLoad.Window == 0 {
 		s.ExtraLoad.Window = defaultExtraWindow
 	}
--- a/settings/forward_test.go
+++ b/settings/forward_test.go
@@ -40,6 +40,7 @@
 		{"out of range", "ratio: 0.2", "ratio: 2", "extra-load.ratio", 10},
 		{"short window", "  slack: 52", "  slack: 52\n  window: 5ns", "extra-load.window", 12},
 		{"negative", "cores: 0.4", "cores: -1", "cores", 8},
+		{"negative slack for cold upstreams", "cores: 0.4", "warmup:\n  slack: -1", "warmup.slack", 9},
 		{"negative drain time", "cores: 0.4", "drain-time: -1s", "drain-time", 8},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -50,7 +51,7 @@
 			got, err := LoadForward(file)
 			if c.line == 0 {
 				if err != nil || got.Lease != 2500*time.Millisecond || got.StopGrace != 6*time.Second || got.ExtraLoad.Window != 10*time.Second ||
-					got.DrainTime != 3*time.Second {
+					got.DrainTime != 3*time.Second || got.Warmup.Overage != 1 {
 					t.Errorf("got %+v, %v, want the defaults", got, err)
 				}
 				return
