Decode the regions of routes, and report routings that need several

allowed_regions wasn't decoded. A routing whose routes have no region in common would need more than one, and is logged.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -193,6 +193,9 @@
 		x.forwarder.UpdateServices(r.Services)
 	}
 	ok := x.router.Apply(r)
+	if ok && !r.HasCommonRegion() {
+		x.log.Info("routes limit their requests to different regions, which is not enforced", "version", r.Version)
+	}
 	if ok {
 		x.routingReadyOnce.Do(func() { close(x.routingReady) })
 	}
--- a/cmd/carobbend/forwardinstance_test.go
+++ b/cmd/carobbend/forwardinstance_test.go
@@ -11,7 +11,9 @@
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/platform"
+	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/settings"
+	"carobbend.example/carobbend/timekeeper"
 )
 
 // fakeFeed is a store that holds a routing configuration and enough large instances, or doesn't answer if silent is set. The
@@ -20,6 +22,11 @@
 	silent     bool
 	emptyLists int
 	listCalls  int
+	// own is an instance that is in the list, beside the others; upstreams and evacuated are listed as they are.
+	own       *carobbend.Instance
+	routing   carobbend.Routing
+	upstreams map[string]carobbend.UpstreamRecord
+	evacuated []carobbend.DataCentre
 }
 
 func (f *fakeFeed) List(ctx context.Context, scope carobbend.FeedScope) (carobbend.Listing, error) {
@@ -36,8 +43,13 @@
 	for _, name := range []string{"l1", "l2", "l3", "l4", "l5"} {
 		l.Instances[name] = carobbend.Instance{Name: name, CallerAddress: "127.0.0.1:1", Capacity: 0.8}
 	}
+	if f.own != nil {
+		l.Instances[f.own.Name] = *f.own
+	}
 	if scope == carobbend.ScopeAll {
-		l.Routing = &carobbend.Routing{Version: 1}
+		r := f.routing
+		r.Version = 1
+		l.Routing, l.Upstreams, l.Evacuated = &r, f.upstreams, f.evacuated
 	}
 	return l, nil
 }
@@ -130,3 +142,47 @@
 		})
 	}
 }
+
+// TestRestrictionsFollowStore guards against an instance that serves without the restrictions that the store holds, from its
+// start or after it was in reserve: an evacuated data centre, and a cold upstream, of which it has a part only once the others can
+// know of it.
+func TestRestrictionsFollowStore(t *testing.T) {
+	for name, cores := range map[string]float64{"large": 0.8, "in reserve": 0.2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newForwardInstance("", &settings.Forward{
+					Instance: "x", Cores: cores, Lease: time.Second, Warmup: settings.ForwardWarmup{Overage: 1},
+				})
+				cold := carobbend.UpstreamRecord{ID: "u", Service: "s", Address: "127.0.0.1:1", DataCentre: "z2", WarmupLeft: time.Minute}
+				gone := carobbend.UpstreamRecord{ID: "v", Service: "s", Address: "127.0.0.1:1", DataCentre: "z1"}
+				x.setFeed(&fakeFeed{
+					own:       &x.self,
+					routing:   carobbend.Routing{Services: []carobbend.Service{{Name: "s", WarmupRate: 12}}},
+					upstreams: map[string]carobbend.UpstreamRecord{"u": cold, "v": gone},
+					evacuated: []carobbend.DataCentre{"z1"},
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- x.follower.Run(ctx) }()
+				time.Sleep(5 * time.Second)
+				r := httptest.NewRequest(http.MethodGet, "/none/", nil)
+				r.Header.Set(platform.Headers().RequestID, "r1")
+				x.forwarder.ServeHTTP(httptest.NewRecorder(), r)
+				reason := func(u carobbend.UpstreamRecord) restrictor.Reason {
+					return x.forwarder.Restrictor.Allowed(time.Now().Add(timekeeper.Suspended()), u)
+				}
+				if u, v := reason(cold), reason(gone); u != restrictor.Cold || v != restrictor.Evacuated {
+					t.Errorf("at the start: got %q and %q, want cold and evacuated", u, v)
+				}
+				time.Sleep(30 * time.Second)
+				if u, v := reason(cold), reason(gone); u != restrictor.None || v != restrictor.Evacuated {
+					t.Errorf("after a while: got %q and %q, want none and evacuated", u, v)
+				}
+				cancel()
+				if err := <-done; !errors.Is(err, context.Canceled) {
+					t.Errorf("got %v, want canceled", err)
+				}
+			})
+		})
+	}
+}
--- a/routing.go
+++ b/routing.go
@@ -1,6 +1,9 @@
 package carobbend
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Routing is one version of the operators' routing of requests. It is immutable once it was published.
 type Routing struct {
@@ -40,6 +43,25 @@
 	Records int
 	// MinCoverage is the least share of shards of an answer, from 0 to 1.
 	MinCoverage float64
+	// Regions names the regions whose upstreams may serve the route's requests; empty means any.
+	Regions []string
+}
+
+// HasCommonRegion reports whether one region may serve all routes. Neither upstreams nor instances state their region, so Regions is
+// kept only by a deployment that lies within such a region.
+func (r *Routing) HasCommonRegion() bool {
+	var common []string
+	limited := false
+	for i := range r.Routes {
+		switch regions := r.Routes[i].Regions; {
+		case len(regions) == 0:
+		case !limited:
+			common, limited = slices.Clone(regions), true
+		default:
+			common = slices.DeleteFunc(common, func(s string) bool { return !slices.Contains(regions, s) })
+		}
+	}
+	return !limited || len(common) > 0
 }
 
 // WeightedService is one service of a split.
