restrictor: update in place, and read the suspension once for an attempt

Each update of the list of upstreams copied all records, and each choice of candidates read two clocks by system calls while there was a restriction.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,6 +128,8 @@
 	inFlight           atomic.Int64
 	scatterer          *scatterer.Scatterer
 	suspensionDetector timekeeper.SuspensionDetector
+	// suspended is the last value that noteSuspension returned.
+	suspended atomic.Int64
 }
 
 // New returns a forwarder.
@@ -172,6 +174,7 @@
 	defer f.inFlight.Add(-1)
 	began := time.Now()
 	q := &query{f: f, began: began, id: r.Header.Get(f.Headers.RequestID), callerNetworkTime: measureNetworkTime(r.Context()), suspended: f.Suspended()}
+	f.noteSuspension(q.suspended)
 	if lost := f.suspensionDetector.Detect(q.suspended); lost > 0 && f.OnResume != nil {
 		f.OnResume(lost)
 	}
--- a/forwarder/restrictions.go
+++ b/forwarder/restrictions.go
@@ -2,18 +2,16 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/gatherer"
 	"carobbend.example/carobbend/restrictor"
+	"carobbend.example/carobbend/timekeeper"
 )
 
-// coverageTolerance keeps a coverage that is a whole number of shards from being rounded up to the next one.
-const coverageTolerance = 1e-9
-
 // maxLoggedValue is the number of bytes of an invalid value that are logged.
 const maxLoggedValue = 40
 
@@ -36,26 +34,36 @@
 	f.log.log.Info("evacuation in effect, no request is in flight there", "data-centre", dc)
 }
 
-// restrictionTime returns the time that the restrictor is given, which includes the time for which the machine was suspended.
-// It is zero while there is no restriction, to which the time doesn't matter: reading the suspension takes system calls.
-func (f *Forwarder) restrictionTime() time.Time {
-	if !f.Restrictor.Active() {
-		return time.Time{}
+// bootTime returns the time on a clock that includes the time for which the machine was suspended, which the restrictor is given.
+func (f *Forwarder) bootTime() time.Time {
+	return time.Now().Add(f.noteSuspension(f.Suspended()))
+}
+
+// noteSuspension takes a value of Suspended and returns the one to use: the last one, unless they differ by a suspension. Smaller
+// differences come from reading the clocks, and would make bootTime go back.
+func (f *Forwarder) noteSuspension(suspended time.Duration) time.Duration {
+	last := f.suspended.Load()
+	if suspended-time.Duration(last) < timekeeper.MinSuspension {
+		return time.Duration(last)
 	}
-	return f.bootTime()
+	f.suspended.CompareAndSwap(last, int64(suspended))
+	return suspended
 }
 
-// bootTime returns the time on a clock that includes the time for which the machine was suspended.
-func (f *Forwarder) bootTime() time.Time { return time.Now().Add(f.Suspended()) }
+// candidates returns the upstreams of a service that take new work and may be sent to. Reading the suspension takes system calls,
+// so the last known one is used: a permission is asked before anything is written.
+func (f *Forwarder) candidates(service string) []carobbend.UpstreamID {
+	ids := f.upstreams.Candidates(service)
+	if !f.Restrictor.Active() {
+		return ids
+	}
+	return f.Restrictor.Filter(time.Now().Add(time.Duration(f.suspended.Load())), ids, f.upstreams.Record)
+}
 
 // UpdateRestrictions takes the records of all upstreams: it notes those that became cold, and drops the restrictions of processes
 // that are gone. It is called before these records are used.
 func (f *Forwarder) UpdateRestrictions(records []carobbend.UpstreamRecord) {
-	byID := make(map[carobbend.UpstreamID]carobbend.UpstreamRecord, len(records))
-	for _, u := range records {
-		byID[u.ID] = u
-	}
-	for _, u := range f.Restrictor.Update(f.bootTime(), byID) {
+	for _, u := range f.Restrictor.Update(f.bootTime(), records) {
 		f.log.notice("upstream is cold", u, "left-ms", u.WarmupLeft.Milliseconds())
 	}
 }
@@ -80,11 +88,6 @@
 // Restricted returns the number of restricted upstreams by reason, without those in evacuated data centres.
 func (f *Forwarder) Restricted() map[restrictor.Reason]int { return f.Restrictor.Counts(f.bootTime()) }
 
-// candidates returns the upstreams of a service that take new work and may be sent to.
-func (f *Forwarder) candidates(service string) []carobbend.UpstreamID {
-	return f.Restrictor.Filter(f.restrictionTime(), f.upstreams.Candidates(service), f.upstreams.Record)
-}
-
 // permission asks the restrictor about one attempt right before its request is written.
 type permission struct {
 	f       *Forwarder
@@ -100,7 +103,12 @@
 }
 
 func (p *permission) ask() bool {
-	p.granted = p.f.Restrictor.Permit(p.f.restrictionTime(), p.record) == restrictor.None
+	var now time.Time
+	if p.f.Restrictor.Active() {
+		// Otherwise the time doesn't matter.
+		now = p.f.bootTime()
+	}
+	p.granted = p.f.Restrictor.Permit(now, p.record) == restrictor.None
 	return p.granted
 }
 
@@ -144,6 +152,5 @@
 		waits = append(waits, wait)
 	}
 	slices.Sort(waits)
-	need := int(math.Ceil(float64(len(services))*minCoverage - coverageTolerance))
-	return waits[min(max(need, 1), len(waits))-1]
+	return waits[gatherer.Need(len(services), minCoverage)-1]
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -138,8 +138,13 @@
 
 // New returns a gather without attempts.
 func New(p Plan) *Gather {
-	need := int(math.Ceil(float64(p.Shards)*p.MinCoverage - roundingTolerance))
-	return &Gather{plan: p, need: min(max(need, 1), p.Shards), shards: make([]shard, p.Shards)}
+	return &Gather{plan: p, need: Need(p.Shards, p.MinCoverage), shards: make([]shard, p.Shards)}
+}
+
+// Need returns the number of shards that an answer with a minimum coverage needs, at least 1.
+func Need(shards int, minCoverage float64) int {
+	need := int(math.Ceil(float64(shards)*minCoverage - roundingTolerance))
+	return min(max(need, 1), shards)
 }
 
 // Covered returns the number of shards with a reply.
--- a/restrictor/cold.go
+++ b/restrictor/cold.go
@@ -39,6 +39,8 @@
 	process
 	warmupLeft time.Duration
 	sequence   int64
+	// update is the number of the last update that had the record.
+	update int
 }
 
 // SetServices replaces the services, whose warm-up bounds the requests to their cold upstreams.
@@ -68,35 +70,28 @@
 	r.share.confirm(now, sentAt)
 }
 
-// updateCold takes the records of all upstreams and returns those that became cold; r.mu must be held.
-func (r *Restrictor) updateCold(now time.Time, records map[carobbend.UpstreamID]carobbend.UpstreamRecord) []carobbend.UpstreamRecord {
-	first := r.known == nil
-	known := make(map[carobbend.UpstreamID]knownRecord, len(records))
-	var became []carobbend.UpstreamRecord
-	for id, u := range records {
-		k := knownRecord{processOf(u), u.WarmupLeft, u.Sequence}
-		old, ok := r.known[id]
-		known[id] = k
-		if ok && old == k {
-			continue
-		}
-		started := !first && (!ok || old.replacedBy(u))
-		if !started && u.WarmupLeft <= 0 {
-			continue
-		}
-		before := r.isCold(now, u)
-		s := r.upstream(id)
-		s.service = u.Service
-		if started {
-			s.cold.seenAt = now
-		}
-		s.cold.extend(now, u.WarmupLeft)
-		if !before && r.isCold(now, u) {
-			became = append(became, u)
-		}
+// updateCold takes the record of an upstream and reports whether it became cold; first says that it is part of the first list. r.mu
+// must be held.
+func (r *Restrictor) updateCold(now time.Time, u carobbend.UpstreamRecord, first bool) bool {
+	k := knownRecord{processOf(u), u.WarmupLeft, u.Sequence, r.updates}
+	old, known := r.known[u.ID]
+	r.known[u.ID] = k
+	old.update = k.update
+	if known && old == k {
+		return false
 	}
-	r.known = known
-	return became
+	started := !first && (!known || old.replacedBy(u))
+	if !started && u.WarmupLeft <= 0 {
+		return false
+	}
+	before := r.isCold(now, u)
+	s := r.upstream(u.ID)
+	s.service = u.Service
+	if started {
+		s.cold.seenAt = now
+	}
+	s.cold.extend(now, u.WarmupLeft)
+	return !before && r.isCold(now, u)
 }
 
 // extend records that the upstream is cold for a time from now.
--- a/restrictor/cold_test.go
+++ b/restrictor/cold_test.go
@@ -40,7 +40,7 @@
 		now := epoch
 		for _, u := range c.seen {
 			now = now.Add(time.Minute)
-			r.Update(now, map[carobbend.UpstreamID]carobbend.UpstreamRecord{"a": u})
+			r.Update(now, []carobbend.UpstreamRecord{u})
 		}
 		last := c.seen[len(c.seen)-1]
 		// An instance that isn't in the list has no part, so each request to a cold upstream is denied.
@@ -57,9 +57,9 @@
 // routing that states its service's warm-up time.
 func TestColdServiceIsNamedLater(t *testing.T) {
 	r := &Restrictor{Warmup: Warmup{Overage: 1}}
-	r.Update(epoch, map[carobbend.UpstreamID]carobbend.UpstreamRecord{})
+	r.Update(epoch, nil)
 	u := up("a", "z")
-	r.Update(epoch, map[carobbend.UpstreamID]carobbend.UpstreamRecord{"a": u})
+	r.Update(epoch, []carobbend.UpstreamRecord{u})
 	r.SetServices(at(5*time.Second), []carobbend.Service{{Name: "s", WarmupRate: 5, WarmupTime: 8 * time.Second}})
 	if before, after := r.Permit(at(7*time.Second), u), r.Permit(at(8*time.Second), u); before != Cold || after != None {
 		t.Errorf("got %q and %q, want cold until 8 s after it was seen", before, after)
--- a/restrictor/restrictor.go
+++ b/restrictor/restrictor.go
@@ -71,8 +71,9 @@
 	droppedAt time.Time
 	services  map[string]carobbend.Service
 	share     share
-	// known holds the upstreams of the last update; nil before the first one.
-	known map[carobbend.UpstreamID]knownRecord
+	// known holds the upstreams of the last update; nil before the first one. updates counts the updates.
+	known   map[carobbend.UpstreamID]knownRecord
+	updates int
 }
 
 // dataCentre is the state of one data centre.
--- a/restrictor/restrictor_test.go
+++ b/restrictor/restrictor_test.go
@@ -141,9 +141,9 @@
 		r.ObserveLeaving(epoch, *of(5, "x"))
 		var last carobbend.UpstreamRecord
 		for _, u := range c.seen {
-			records := map[carobbend.UpstreamID]carobbend.UpstreamRecord{}
+			var records []carobbend.UpstreamRecord
 			if u != nil {
-				records["a"], last = *u, *u
+				records, last = append(records, *u), *u
 			}
 			r.Update(at(time.Minute), records)
 		}
@@ -153,7 +153,7 @@
 	}
 	unknown := &Restrictor{}
 	unknown.ObserveLeaving(epoch, *of(0, "x"))
-	unknown.Update(epoch, map[carobbend.UpstreamID]carobbend.UpstreamRecord{"a": *of(0, "x")})
+	unknown.Update(epoch, []carobbend.UpstreamRecord{*of(0, "x")})
 	if same, moved := unknown.Allowed(epoch, *of(0, "x")), unknown.Allowed(epoch, *of(0, "y")); same != Leaving || moved != None {
 		t.Errorf("without start times: got %q, and %q at another address, want leaving and none", same, moved)
 	}
--- a/restrictor/upstream.go
+++ b/restrictor/upstream.go
@@ -1,6 +1,7 @@
 package restrictor
 
 import (
+	"maps"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -144,28 +145,46 @@
 
 // Update takes the records of all upstreams and drops what it knew about processes that they show to be gone. It returns the
 // upstreams that became cold.
-func (r *Restrictor) Update(now time.Time, records map[carobbend.UpstreamID]carobbend.UpstreamRecord) []carobbend.UpstreamRecord {
+func (r *Restrictor) Update(now time.Time, records []carobbend.UpstreamRecord) (becameCold []carobbend.UpstreamRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, s := range r.upstreams {
-		u, ok := records[id]
-		switch {
-		case ok:
+	first := r.known == nil
+	if first {
+		r.known = make(map[carobbend.UpstreamID]knownRecord, len(records))
+	}
+	r.updates++
+	for _, u := range records {
+		if r.updateCold(now, u, first) {
+			becameCold = append(becameCold, u)
+		}
+		if s := r.upstreams[u.ID]; s != nil {
 			s.goneSince = time.Time{}
 			if s.leaving.replacedBy(u) {
 				s.leaving = leaving{}
 			}
-		case s.goneSince.IsZero():
-			s.goneSince = now
 		}
-		if !ok && (s.leaving.startedMs == 0 || now.Sub(s.goneSince) >= leavingRetention) {
-			s.leaving = leaving{}
+	}
+	for id, s := range r.upstreams {
+		if r.known[id].update != r.updates {
+			s.gone(now)
 		}
 	}
-	became := r.updateCold(now, records)
+	if len(r.known) > len(records) {
+		maps.DeleteFunc(r.known, func(_ carobbend.UpstreamID, k knownRecord) bool { return k.update != r.updates })
+	}
 	r.droppedAt = time.Time{}
 	r.dropEnded(now)
-	return became
+	return becameCold
+}
+
+// gone records that the upstream has no record.
+func (s *upstream) gone(now time.Time) {
+	if s.goneSince.IsZero() {
+		s.goneSince = now
+	}
+	if s.leaving.startedMs == 0 || now.Sub(s.goneSince) >= leavingRetention {
+		s.leaving = leaving{}
+	}
 }
 
 // Counts returns the number of upstreams that are leaving, paused or cold.
