--- a/meter/forward_test.go
+++ b/meter/forward_test.go
@@ -9,6 +9,7 @@
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/forwarder"
+	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/scatterer"
 )
 
@@ -18,6 +19,10 @@
 	m, err := NewForward(ForwardSources{
 		StoreCalls: one, RoutingVersion: one, Upstreams: one, Connections: one, Opened: one, InFlight: one, Members: one,
 		DroppedLines: one, Ready: func() bool { return true },
+		DataCentres: func() []restrictor.DataCentreStatus {
+			return []restrictor.DataCentreStatus{{Name: "z1", Evacuated: true, InFlight: 2}, {Name: "z2"}}
+		},
+		Restricted: func() map[restrictor.Reason]int { return map[restrictor.Reason]int{restrictor.Paused: 3} },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -32,6 +37,8 @@
 		"carobbend_upstream_connections_opened_total 1", "carobbend_store_calls_total 1", "carobbend_routing_version 1",
 		"carobbend_members 1", "carobbend_upstreams 1", "carobbend_ready 1", "carobbend_requests_in_flight 1",
 		"carobbend_log_lines_dropped_total 1",
+		`carobbend_data_centre_evacuated{data_centre="z1"} 1`, `carobbend_data_centre_evacuated{data_centre="z2"} 0`,
+		`carobbend_data_centre_requests_in_flight{data_centre="z1"} 2`, `carobbend_upstreams_restricted{reason="paused"} 3`,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("metrics lack %s", want)
