--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -124,8 +124,10 @@
 	x.forwarder = forwarder.New(forwarder.Config{
 		Headers: headers, Router: &x.router, Upstreams: &x.upstreams, Balancer: x.balancer, Exchanger: x.exchanger,
 		RetryBudget: x.retryBudget, Hedger: hedger.New(), Instances: x.selector.InstanceCount,
-		Restrictor: &restrictor.Restrictor{DrainTime: cfg.DrainTime},
-		OnResume:   x.onResume, AwaitRouting: x.awaitRouting,
+		Restrictor: &restrictor.Restrictor{
+			DrainTime: cfg.DrainTime, Warmup: restrictor.Warmup{Overage: cfg.Warmup.Overage, Slack: cfg.Warmup.Slack},
+		},
+		OnResume: x.onResume, AwaitRouting: x.awaitRouting,
 		Memory: limiter.NewBytes(int64(requestMemoryFraction * float64(cfg.MemoryMB) * (1 << 20))),
 	})
 	x.store = platform.NewStore(cfg.Store)
@@ -167,6 +169,7 @@
 func (x *forwardInstance) setFeed(feed carobbend.Feed) {
 	x.follower = follower.New(x.allotments.Feed(feed), follower.Handlers{
 		Routing: x.applyRouting, Upstreams: x.updateUpstreams, Instances: x.updateInstances, Evacuated: x.forwarder.SetEvacuated,
+		Confirmed:  x.forwarder.ConfirmInstances,
 		StoreState: x.setStoreState,
 	})
 	x.enroller.OnFailure(x.follower.Probe)
@@ -222,7 +225,13 @@
 		// Read just before this instance returned to the reserve, where nothing would replace it.
 		return false
 	}
+	if t := x.router.Table(); t == nil || r.Version > t.Version() {
+		x.forwarder.UpdateServices(r.Services)
+	}
 	ok := x.router.Apply(r)
+	if ok && !r.HasCommonRegion() {
+		x.log.Info("routes limit their requests to different regions, which is not enforced", "version", r.Version)
+	}
 	if ok {
 		x.allotments.SetAccounts(r.Accounts)
 	}
@@ -266,6 +275,7 @@
 	} else if own, ok := instances[x.self.Name]; (!ok || own.Incarnation != x.self.Incarnation) && !x.isDraining() {
 		x.enroller.Reannounce()
 	}
+	x.forwarder.UpdateInstances(x.self, instances)
 	x.relay.Update(instances)
 	if x.active.Load() {
 		x.allotments.Update(instances)
--- a/forwarder/restrictions.go
+++ b/forwarder/restrictions.go
@@ -1,18 +1,17 @@
 package forwarder
 
 import (
-	"math"
+	"maps"
 	"slices"
 	"time"
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/exchanger"
+	"carobbend.example/carobbend/gatherer"
 	"carobbend.example/carobbend/restrictor"
+	"carobbend.example/carobbend/timekeeper"
 )
 
-// coverageTolerance keeps a coverage that is a whole number of shards from being rounded up to the next one.
-const coverageTolerance = 1e-9
-
 // maxLoggedValue is the number of bytes of an invalid value that are logged.
 const maxLoggedValue = 40
 
@@ -35,35 +34,60 @@
 	f.log.log.Info("evacuation in effect, no request is in flight there", "data-centre", dc)
 }
 
-// restrictionTime returns the time that the restrictor is given, which includes the time for which the machine was suspended.
-// It is zero while there is no restriction, to which the time doesn't matter: reading the suspension takes system calls.
-func (f *Forwarder) restrictionTime() time.Time {
-	if !f.Restrictor.Active() {
-		return time.Time{}
+// bootTime returns the time on a clock that includes the time for which the machine was suspended, which the restrictor is given.
+func (f *Forwarder) bootTime() time.Time {
+	return time.Now().Add(f.noteSuspension(f.Suspended()))
+}
+
+// noteSuspension takes a value of Suspended and returns the one to use: the last one, unless they differ by a suspension. Smaller
+// differences come from reading the clocks, and would make bootTime go back.
+func (f *Forwarder) noteSuspension(suspended time.Duration) time.Duration {
+	last := f.suspended.Load()
+	if suspended-time.Duration(last) < timekeeper.MinSuspension {
+		return time.Duration(last)
 	}
-	return f.bootTime()
+	f.suspended.CompareAndSwap(last, int64(suspended))
+	return suspended
 }
 
-// bootTime returns the time on a clock that includes the time for which the machine was suspended.
-func (f *Forwarder) bootTime() time.Time { return time.Now().Add(f.Suspended()) }
+// candidates returns the upstreams of a service that take new work and may be sent to. Reading the suspension takes system calls,
+// so the last known one is used: a permission is asked before anything is written.
+func (f *Forwarder) candidates(service string) []carobbend.UpstreamID {
+	ids := f.upstreams.Candidates(service)
+	if !f.Restrictor.Active() {
+		return ids
+	}
+	return f.Restrictor.Filter(time.Now().Add(time.Duration(f.suspended.Load())), ids, f.upstreams.Record)
+}
 
-// UpdateRestrictions drops the restrictions of processes that the records of all upstreams show to be gone.
+// UpdateRestrictions takes the records of all upstreams: it notes those that became cold, and drops the restrictions of processes
+// that are gone. It is called before these records are used.
 func (f *Forwarder) UpdateRestrictions(records []carobbend.UpstreamRecord) {
-	byID := make(map[carobbend.UpstreamID]carobbend.UpstreamRecord, len(records))
-	for _, u := range records {
-		byID[u.ID] = u
+	for _, u := range f.Restrictor.Update(f.bootTime(), records) {
+		f.log.notice("upstream is cold", u, "left-ms", u.WarmupLeft.Milliseconds())
 	}
-	f.Restrictor.Update(f.bootTime(), byID)
 }
 
-// Restricted returns the number of restricted upstreams by reason, without those in evacuated data centres.
-func (f *Forwarder) Restricted() map[restrictor.Reason]int { return f.Restrictor.Counts(f.bootTime()) }
+// UpdateServices takes the services of a routing before it is used.
+func (f *Forwarder) UpdateServices(services []carobbend.Service) {
+	f.Restrictor.SetServices(f.bootTime(), services)
+}
 
-// candidates returns the upstreams of a service that take new work and may be sent to.
-func (f *Forwarder) candidates(service string) []carobbend.UpstreamID {
-	return f.Restrictor.Filter(f.restrictionTime(), f.upstreams.Candidates(service), f.upstreams.Record)
+// UpdateInstances takes the list of instances, among which the requests to a cold upstream are divided.
+func (f *Forwarder) UpdateInstances(self carobbend.Instance, instances map[string]carobbend.Instance) {
+	own, ok := instances[self.Name]
+	f.Restrictor.SetInstances(f.bootTime(), self.Name, ok && own.Incarnation == self.Incarnation, slices.Collect(maps.Keys(instances)))
+}
+
+// ConfirmInstances records that the list of instances holds all changes that the store had acknowledged the given time ago.
+func (f *Forwarder) ConfirmInstances(age time.Duration) {
+	now := f.bootTime()
+	f.Restrictor.Confirm(now, now.Add(-age))
 }
 
+// Restricted returns the number of restricted upstreams by reason, without those in evacuated data centres.
+func (f *Forwarder) Restricted() map[restrictor.Reason]int { return f.Restrictor.Counts(f.bootTime()) }
+
 // permission asks the restrictor about one attempt right before its request is written.
 type permission struct {
 	f       *Forwarder
@@ -79,7 +103,12 @@
 }
 
 func (p *permission) ask() bool {
-	p.granted = p.f.Restrictor.Permit(p.f.restrictionTime(), p.record) == restrictor.None
+	var now time.Time
+	if p.f.Restrictor.Active() {
+		// Otherwise the time doesn't matter.
+		now = p.f.bootTime()
+	}
+	p.granted = p.f.Restrictor.Permit(now, p.record) == restrictor.None
 	return p.granted
 }
 
@@ -88,6 +117,9 @@
 	if n.Leaving && p.f.Restrictor.ObserveLeaving(p.f.bootTime(), p.record) {
 		p.f.log.notice("upstream announced that it is leaving", p.record)
 	}
+	if n.WarmupLeft > 0 {
+		p.f.Restrictor.ObserveWarmup(p.f.bootTime(), p.record, n.WarmupLeft)
+	}
 	if n.RetryAfter > 0 {
 		if d := p.f.Restrictor.ObserveRetryAfter(p.f.bootTime(), p.record, n.RetryAfter); d > 0 {
 			p.f.log.notice("upstream asked for a pause", p.record, "asked-ms", n.RetryAfter.Milliseconds(), "pause-ms", d.Milliseconds())
@@ -120,6 +152,5 @@
 		waits = append(waits, wait)
 	}
 	slices.Sort(waits)
-	need := int(math.Ceil(float64(len(services))*minCoverage - coverageTolerance))
-	return waits[min(max(need, 1), len(waits))-1]
+	return waits[gatherer.Need(len(services), minCoverage)-1]
 }
--- a/meter/forward_test.go
+++ b/meter/forward_test.go
@@ -11,6 +11,7 @@
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/allotter"
 	"carobbend.example/carobbend/forwarder"
+	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/scatterer"
 )
 
@@ -23,6 +24,10 @@
 		Allotments: func() []allotter.Account {
 			return []allotter.Account{{Name: "a0", Rate: 46, Burst: 5, Share: 0.25, Granted: 0.1, FromReserve: 2}, {Name: "unseen"}}
 		},
+		DataCentres: func() []restrictor.DataCentreStatus {
+			return []restrictor.DataCentreStatus{{Name: "z1", Evacuated: true, InFlight: 2}, {Name: "z2"}}
+		},
+		Restricted: func() map[restrictor.Reason]int { return map[restrictor.Reason]int{restrictor.Paused: 3} },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -41,6 +46,8 @@
 		`carobbend_account_rate{account="a0"} 46`, `carobbend_account_burst{account="a0"} 5`,
 		`carobbend_account_share{account="a0"} 0.25`, `carobbend_account_granted{account="a0"} 0.1`,
 		`carobbend_account_reserve_used_total{account="a0"} 2`,
+		`carobbend_data_centre_evacuated{data_centre="z1"} 1`, `carobbend_data_centre_evacuated{data_centre="z2"} 0`,
+		`carobbend_data_centre_requests_in_flight{data_centre="z1"} 2`, `carobbend_upstreams_restricted{reason="paused"} 3`,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("metrics lack %s", want)
--- a/restrictor/upstream.go
+++ b/restrictor/upstream.go
@@ -1,6 +1,7 @@
 package restrictor
 
 import (
+	"maps"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -26,6 +27,9 @@
 type upstream struct {
 	leaving leaving
 	pause   pause
+	cold    cold
+	// service is the upstream's service, as far as it was needed.
+	service string
 	// goneSince is when the record of the upstream was first missing; zero while it is there.
 	goneSince time.Time
 }
@@ -66,9 +70,9 @@
 	return now.Before(s.pause.until) && !s.pause.replacedBy(u)
 }
 
-// isEmpty reports whether the state holds nothing that may still restrict.
-func (s *upstream) isEmpty(now time.Time) bool {
-	return s.leaving.since.IsZero() && !now.Before(s.pause.until)
+// isEmpty reports whether a state holds nothing that may still restrict; r.mu must be held.
+func (r *Restrictor) isEmpty(now time.Time, s *upstream) bool {
+	return s.leaving.since.IsZero() && !now.Before(s.pause.until) && !now.Before(r.coldUntil(s))
 }
 
 // upstream returns the state of an upstream; r.mu must be held.
@@ -132,41 +136,62 @@
 	}
 	r.droppedAt = now
 	for id, s := range r.upstreams {
-		if s.isEmpty(now) {
+		if r.isEmpty(now, s) {
 			delete(r.upstreams, id)
 		}
 	}
 	r.updateActive()
 }
 
-// Update takes the records of all upstreams and drops what it knew about processes that they show to be gone.
-func (r *Restrictor) Update(now time.Time, records map[carobbend.UpstreamID]carobbend.UpstreamRecord) {
+// Update takes the records of all upstreams and drops what it knew about processes that they show to be gone. It returns the
+// upstreams that became cold.
+func (r *Restrictor) Update(now time.Time, records []carobbend.UpstreamRecord) (becameCold []carobbend.UpstreamRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, s := range r.upstreams {
-		u, ok := records[id]
-		switch {
-		case ok:
+	first := r.known == nil
+	if first {
+		r.known = make(map[carobbend.UpstreamID]knownRecord, len(records))
+	}
+	r.updates++
+	for _, u := range records {
+		if r.updateCold(now, u, first) {
+			becameCold = append(becameCold, u)
+		}
+		if s := r.upstreams[u.ID]; s != nil {
 			s.goneSince = time.Time{}
 			if s.leaving.replacedBy(u) {
 				s.leaving = leaving{}
 			}
-		case s.goneSince.IsZero():
-			s.goneSince = now
 		}
-		if !ok && (s.leaving.startedMs == 0 || now.Sub(s.goneSince) >= leavingRetention) {
-			s.leaving = leaving{}
+	}
+	for id, s := range r.upstreams {
+		if r.known[id].update != r.updates {
+			s.gone(now)
 		}
 	}
+	if len(r.known) > len(records) {
+		maps.DeleteFunc(r.known, func(_ carobbend.UpstreamID, k knownRecord) bool { return k.update != r.updates })
+	}
 	r.droppedAt = time.Time{}
 	r.dropEnded(now)
+	return becameCold
 }
 
-// Counts returns the number of upstreams that are leaving or paused.
+// gone records that the upstream has no record.
+func (s *upstream) gone(now time.Time) {
+	if s.goneSince.IsZero() {
+		s.goneSince = now
+	}
+	if s.leaving.startedMs == 0 || now.Sub(s.goneSince) >= leavingRetention {
+		s.leaving = leaving{}
+	}
+}
+
+// Counts returns the number of upstreams that are leaving, paused or cold.
 func (r *Restrictor) Counts(now time.Time) map[Reason]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := map[Reason]int{Leaving: 0, Paused: 0}
+	n := map[Reason]int{Leaving: 0, Paused: 0, Cold: 0}
 	for _, s := range r.upstreams {
 		if !s.goneSince.IsZero() {
 			continue
@@ -177,6 +202,9 @@
 		if now.Before(s.pause.until) {
 			n[Paused]++
 		}
+		if r.services[s.service].WarmupRate > 0 && now.Before(r.coldUntil(s)) {
+			n[Cold]++
+		}
 	}
 	return n
 }
--- a/routing.go
+++ b/routing.go
@@ -1,6 +1,9 @@
 package carobbend
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Routing is one version of the operators' routing of requests. It is immutable once it was published.
 type Routing struct {
@@ -69,6 +72,25 @@
 	Records int
 	// MinCoverage is the least share of shards of an answer, from 0 to 1.
 	MinCoverage float64
+	// Regions names the regions whose upstreams may serve the route's requests; empty means any.
+	Regions []string
+}
+
+// HasCommonRegion reports whether one region may serve all routes. Neither upstreams nor instances state their region, so Regions is
+// kept only by a deployment that lies within such a region.
+func (r *Routing) HasCommonRegion() bool {
+	var common []string
+	limited := false
+	for i := range r.Routes {
+		switch regions := r.Routes[i].Regions; {
+		case len(regions) == 0:
+		case !limited:
+			common, limited = slices.Clone(regions), true
+		default:
+			common = slices.DeleteFunc(common, func(s string) bool { return !slices.Contains(regions, s) })
+		}
+	}
+	return !limited || len(common) > 0
 }
 
 // WeightedService is one service of a split.
@@ -82,6 +104,10 @@
 	Name string
 	// MaxConns is the number of connections that each upstream accepts from all instances together.
 	MaxConns int
+	// WarmupTime is how long an upstream is cold after its start, WarmupRate the number of requests a second that all instances
+	// together should send to a cold one; 0 means no bound.
+	WarmupTime time.Duration
+	WarmupRate float64
 }
 
 // CallerLimits bound what a caller may send; 0 means no bound.
