reporter: share observations of upstreams in trouble between instances

With many instances, each sends an upstream a request or two a second and learns by itself that it sheds, fails or is slow. Groups of up to 12 serving instances now tell each other each 200 ms what they observed of upstreams in question, as counts, over a stream that isn't answered (linker.Tell). Others' observations count half as much as own ones where replicas are compared, fade within 3 s, and don't enter the expected latency, so that a false report never makes a shard count as lost. At most 3 KB/s are sent, with headers.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -232,6 +232,9 @@
 	if b.useInFlight && kind != carobbend.FailureCanceled && kind != carobbend.FailureSnapshotGone {
 		n.recordOutcome(now, kind, load)
 	}
+	if b.useInFlight && kind != carobbend.FailureSnapshotGone {
+		n.count(now, kind, latency, load)
+	}
 	switch kind {
 	case carobbend.FailureNone:
 		n.succeeded(now, latency)
@@ -361,10 +364,10 @@
 			if n.leaving || now.Before(n.ejectedUntil) != ejected {
 				continue
 			}
-			smoothed := n.expectedLatency(now, float64(referenceLatency), b.latencyDecay) / float64(referenceLatency) * float64(typical)
+			smoothed := max(n.ownLatency(now, float64(referenceLatency), b.latencyDecay), n.inFlightLatency(now)) / float64(referenceLatency) * float64(typical)
 			queued := float64(typical) + max(n.backlog(now)-1, b.localBacklog(n)-1, 0)*float64(wait)
 			attempts := 1 / max(1-n.failureRate.current(now), minSuccessRate)
-			refusals := 1/max(n.acceptanceRate(now), minSuccessRate) - 1
+			refusals := 1/max(1-shareOf(n.unloadedShedRate.current(now)), minSuccessRate) - 1
 			lowest = min(lowest, max(smoothed, queued)*attempts+refusals*float64(shedLatency))
 		}
 		if !math.IsInf(lowest, 1) {
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -102,6 +102,11 @@
 	ejectedUntil time.Time
 	ejections    int
 	ejectedAt    time.Time
+	// own is the number of recent own observations, peers what other instances reported, and unreported what they will be told.
+	own             evidence
+	peers           peerView
+	unreported      unreported
+	inQuestionUntil time.Time
 }
 
 // score is the expected cost of one more request; unknown is the latency assumed before the first observation.
@@ -110,7 +115,7 @@
 	if useLoad {
 		s *= 1 + n.decayedLoad(now)
 	}
-	return s * (1 + failureRateFactor*(1-(1-n.failureRate.current(now))*(1-n.unloadedShedRate.current(now))))
+	return s * (1 + failureRateFactor*(1-(1-n.currentFailureRate(now))*(1-n.currentShedRate(now))))
 }
 
 // decayingRate is a smoothed share of requests that decays over time. The zero value is a rate of 0.
@@ -137,10 +142,9 @@
 	s.rate, s.updatedAt = v, now
 }
 
-// share estimates the share of requests that raised the rate. It corrects the bias that the different values of
-// rateRiseWeight and rateFallWeight cause.
-func (s *decayingRate) share(now time.Time) float64 {
-	r := s.current(now)
+// shareOf estimates the share of requests that raised a rate. It corrects the bias that the different values of rateRiseWeight
+// and rateFallWeight cause.
+func shareOf(r float64) float64 {
 	return r * rateFallWeight / (rateRiseWeight - r*(rateRiseWeight-rateFallWeight))
 }
 
@@ -158,11 +162,11 @@
 }
 
 // acceptanceRate is the share of requests that the upstream doesn't shed while it has capacity.
-func (n *node) acceptanceRate(now time.Time) float64 { return 1 - n.unloadedShedRate.share(now) }
+func (n *node) acceptanceRate(now time.Time) float64 { return 1 - shareOf(n.currentShedRate(now)) }
 
 // successRate is the share of requests that the upstream neither sheds nor fails.
 func (n *node) successRate(now time.Time) float64 {
-	return n.acceptanceRate(now) * (1 - n.failureRate.share(now))
+	return n.acceptanceRate(now) * (1 - shareOf(n.currentFailureRate(now)))
 }
 
 // isReliable reports whether the upstream serves nearly all of its requests.
@@ -179,6 +183,11 @@
 }
 
 func (n *node) decayedLatency(now time.Time, unknown float64, decay time.Duration) float64 {
+	return n.blendLatency(now, n.ownLatency(now, unknown, decay))
+}
+
+// ownLatency is the estimate from this instance's own observations.
+func (n *node) ownLatency(now time.Time, unknown float64, decay time.Duration) float64 {
 	if n.samples == 0 {
 		return unknown
 	}
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -23,6 +23,7 @@
 	"carobbend.example/carobbend/meter"
 	"carobbend.example/carobbend/platform"
 	"carobbend.example/carobbend/relayer"
+	"carobbend.example/carobbend/reporter"
 	"carobbend.example/carobbend/router"
 	"carobbend.example/carobbend/scatterer"
 	"carobbend.example/carobbend/settings"
@@ -68,8 +69,10 @@
 	enroller    *enroller.Enroller
 	// links connect to other instances, whose requests for the list of instances relay answers; nil unless a peer address
 	// is set.
-	links    *linker.Linker
-	relay    *relayer.Relay
+	links *linker.Linker
+	relay *relayer.Relay
+	// reporter shares observations of upstreams; nil unless the settings ask for it.
+	reporter *reporter.Reporter
 	meter    *meter.Forward
 	draining chan struct{}
 	// suspensionDetector detects that the machine was suspended while no request arrived.
@@ -128,6 +131,10 @@
 	}
 	x.links = linker.New(x.self, linker.WithoutNotices())
 	x.links.AddHandlers(x.relay)
+	if cfg.ShareObservations {
+		x.reporter = reporter.New(x.self.Name, x.balancer, x.links)
+		x.links.AddHandlers(x.reporter)
+	}
 	x.setFeed(relayer.NewFeed(platform.NewFeed(x.store), x.self, x.links))
 	return x
 }
@@ -150,6 +157,7 @@
 		InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
 		Upstreams: func() int64 { return int64(x.upstreams.Size()) },
 		Members:   func() int64 { return int64(x.selector.InstanceCount()) },
+		Reports:   x.reportCounts,
 		RoutingVersion: func() int64 {
 			if t := x.router.Table(); t != nil {
 				return int64(t.Version())
@@ -165,6 +173,14 @@
 	return nil
 }
 
+// reportCounts returns the totals of the reporter, which are 0 without one.
+func (x *forwardInstance) reportCounts() reporter.Counts {
+	if x.reporter == nil {
+		return reporter.Counts{}
+	}
+	return x.reporter.Counts()
+}
+
 // distance returns the factor on an upstream's score, which prefers upstreams in this data centre.
 func (x *forwardInstance) distance(id carobbend.UpstreamID) float64 {
 	if r, ok := x.upstreams.Record(id); ok && r.DataCentre == x.self.DataCentre {
@@ -200,6 +216,9 @@
 		all = append(all, r)
 	}
 	c := x.upstreams.Update(all)
+	if x.reporter != nil {
+		x.reporter.SetUpstreams(records)
+	}
 	now := time.Now()
 	for _, r := range c.Joined {
 		x.balancer.Remove(r.ID)
@@ -223,6 +242,7 @@
 		x.enroller.Reannounce()
 	}
 	x.relay.Update(instances)
+	x.updateReporter(instances)
 	before := x.selector.InstanceCount()
 	x.selector.Update(instances)
 	n := x.selector.InstanceCount()
@@ -232,6 +252,19 @@
 	}
 }
 
+// updateReporter names the serving instances to the reporter. One in reserve isn't among them.
+func (x *forwardInstance) updateReporter(instances map[string]carobbend.Instance) {
+	if x.reporter == nil || !x.active.Load() {
+		return
+	}
+	list := make([]carobbend.Instance, 0, len(instances))
+	for _, i := range instances {
+		list = append(list, i)
+	}
+	x.links.ApplyList(list)
+	x.reporter.SetInstances(instances)
+}
+
 // updateRetryBudget sets this instance's share of the extra load that n instances may cause together.
 func (x *forwardInstance) updateRetryBudget(n int) {
 	bound := x.cfg.ExtraLoad
--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -93,6 +93,9 @@
 			}
 		})
 	}
+	if x.reporter != nil {
+		g.Add(func() error { return x.reporter.Run(ctx) }, func(error) { cancel() })
+	}
 	g.Add(func() error { return x.follower.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.enroller.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.monitorLoad(ctx) }, func(error) { cancel() })
--- a/linker/link.go
+++ b/linker/link.go
@@ -46,6 +46,8 @@
 	session   *yamux.Session
 	lastUsed  atomic.Int64
 	lastReply atomic.Int64
+	// oneWay carries the frames of Tell.
+	oneWay oneWay
 }
 
 // openStream returns a new stream; it first opens a new session if there is none or it is closed.
@@ -140,7 +142,8 @@
 	return l, true
 }
 
-func (k *Linker) closeIdle() {
+// CloseIdle closes the links that weren't used for linkIdleTimeout. Run and ApplyList call it, too.
+func (k *Linker) CloseIdle() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	limit := k.now().Add(-linkIdleTimeout).UnixNano()
@@ -201,10 +204,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, streamTimeout)
 	defer cancel()
-	req, err := encoder.ReadFrame(bufio.NewReader(s))
+	r := bufio.NewReader(s)
+	req, err := encoder.ReadFrame(r)
 	if err != nil {
 		return
 	}
+	if isOneWay(req) {
+		k.serveOneWay(ctx, s, r, req)
+		return
+	}
 	reply := k.handle(ctx, req)
 	if err := encoder.WriteFrame(s, reply); err != nil {
 		k.log.Error(err, "reply to peer not written", "peer", s.RemoteAddr())
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -12,6 +12,7 @@
 //	go l.Serve(listener)
 //	go l.Run(ctx)
 //	reply, err := l.Ask(ctx, "leon-2", frame)
+//	err = l.Tell(ctx, "leon-2", frame) // without a reply
 package linker
 
 import (
@@ -139,7 +140,7 @@
 	k.mu.Lock()
 	k.view.applyList(k.now(), list, rand.Float64())
 	k.mu.Unlock()
-	k.closeIdle()
+	k.CloseIdle()
 }
 
 // Self implements carobbend.Members.
@@ -214,7 +215,7 @@
 	live := k.view.instances(k.now(), false)
 	k.mu.Unlock()
 	k.onRound(live)
-	k.closeIdle()
+	k.CloseIdle()
 	if !due {
 		return
 	}
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -13,6 +13,7 @@
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/forwarder"
+	"carobbend.example/carobbend/reporter"
 	"carobbend.example/carobbend/scatterer"
 )
 
@@ -27,6 +28,8 @@
 	Members        func() int64
 	DroppedLines   func() int64
 	Ready          func() bool
+	// Reports returns the totals of reports to and from other instances.
+	Reports func() reporter.Counts
 }
 
 // Forward records the events of a forwarding instance. It implements forwarder.Recorder and is safe for concurrent
@@ -62,6 +65,7 @@
 	b.observableCounter("carobbend_store_calls", "Calls to the store; a watch is one call.", src.StoreCalls)
 	b.observableCounter("carobbend_log_lines_dropped", "Log lines dropped since the output was too slow.", src.DroppedLines)
 	b.observableFlag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
+	b.observeReports(src.Reports)
 	b.observeBreaches()
 	if b.err != nil {
 		return nil, &Error{Op: "new instrument", Err: b.err}
@@ -69,6 +73,21 @@
 	return m, nil
 }
 
+// observeReports adds the metrics of reports to and from other instances.
+func (b *builder) observeReports(counts func() reporter.Counts) {
+	of := func(f func(reporter.Counts) int64) func() int64 { return func() int64 { return f(counts()) } }
+	b.observableCounter("carobbend_reports_sent", "Reports on upstreams sent to other instances.",
+		of(func(c reporter.Counts) int64 { return c.Sent }))
+	b.observableCounter("carobbend_reports_failed", "Reports that couldn't be sent, or that the other instance doesn't take.",
+		of(func(c reporter.Counts) int64 { return c.Failed }))
+	b.observableCounter("carobbend_reports_received", "Reports of other instances that were taken in.",
+		of(func(c reporter.Counts) int64 { return c.Received }))
+	b.observableCounter("carobbend_report_entries", "Upstreams in the reports that were taken in.",
+		of(func(c reporter.Counts) int64 { return c.Entries }))
+	b.observableCounter("carobbend_report_sent_bytes", "Size of the reports sent, without headers.",
+		of(func(c reporter.Counts) int64 { return c.Bytes }))
+}
+
 // Handler serves the metrics in the Prometheus format.
 func (m *Forward) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/scatterer/patterns_test.go
+++ b/scatterer/patterns_test.go
@@ -76,7 +76,7 @@
 		},
 		sheds: func(int, int) bool { return false },
 	}
-	p.rate = overload * slots / p.serviceTime.Seconds()
+	p.rate = overload * defaultSlots / p.serviceTime.Seconds()
 	play(t, p, 0.7)
 	p.withoutAdmission = true
 	for seed := range uint64(3) {
--- a/scatterer/simulation_test.go
+++ b/scatterer/simulation_test.go
@@ -1,23 +1,28 @@
 package scatterer_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/gatherer"
 	"carobbend.example/carobbend/hedger"
+	"carobbend.example/carobbend/reporter"
 	"carobbend.example/carobbend/router"
 	"carobbend.example/carobbend/scatterer"
 )
 
 const (
-	shards     = 10
-	slots      = 3
-	queueBound = 18
+	defaultShards = 10
+	defaultSlots  = 3
+	queueBound    = 18
 	// shedLatency is the time after which a shed reply arrives.
 	shedLatency = 2 * time.Millisecond
 	// shedShare is the share of requests that a shedding upstream refuses although it has capacity.
@@ -44,6 +49,23 @@
 	extraRatio          float64
 	extraSlack          float64
 	withoutAdmission    bool
+	// shards and slots are defaultShards and defaultSlots if they are 0.
+	shards, slots int
+	// slowness returns the factor on the service time of an upstream; nil means 1. From troubleFrom to troubleTo after the start,
+	// sheds and slowness apply; without troubleTo, they always do.
+	slowness               func(shard, replica int) float64
+	troubleFrom, troubleTo time.Duration
+	// shared says that instances share their observations.
+	shared bool
+}
+
+func (p pattern) shardCount() int { return cmp.Or(p.shards, defaultShards) }
+func (p pattern) slotCount() int  { return cmp.Or(p.slots, defaultSlots) }
+
+// inTrouble reports whether sheds and slowness apply at the given time.
+func (p pattern) inTrouble(now time.Time) bool {
+	d := now.Sub(epoch)
+	return p.troubleTo == 0 || d >= p.troubleFrom && d < p.troubleTo
 }
 
 // upstream has slots and a bounded queue.
@@ -51,7 +73,8 @@
 	sheds                bool
 	pause, pauseInterval time.Duration
 	firstPause           time.Time
-	free                 [slots]time.Time
+	slowness             float64
+	free                 []time.Time
 	// running holds the ends of the requests that are in.
 	running []time.Time
 }
@@ -65,7 +88,7 @@
 		}
 	}
 	u.running = in
-	if len(in) >= slots+queueBound {
+	if len(in) >= len(u.free)+queueBound {
 		return now, false
 	}
 	first := 0
@@ -102,7 +125,7 @@
 	return end
 }
 
-func (u *upstream) load() float64 { return float64(len(u.running)) / slots }
+func (u *upstream) load() float64 { return float64(len(u.running)) / float64(len(u.free)) }
 
 type event struct {
 	at time.Time
@@ -133,12 +156,14 @@
 	candidates map[string][]carobbend.UpstreamID
 	events     events
 
-	queries, inTime, refused, requests, extra, shed int
+	queries, inTime, refused, requests, extra, shed, messages, messageBytes int
 }
 
 type instance struct {
 	budget    *hedger.WindowBudget
+	balancer  *balancer.Balancer
 	scatterer *scatterer.Scatterer
+	reporter  *reporter.Core
 }
 
 func newSimulation(p pattern, seed uint64) *simulation {
@@ -149,12 +174,16 @@
 		}},
 		upstreams: map[carobbend.UpstreamID]*upstream{}, candidates: map[string][]carobbend.UpstreamID{},
 	}
-	for i := range shards {
+	for i := range p.shardCount() {
 		service := fmt.Sprintf("shard-%d", i)
 		s.route.Shards = append(s.route.Shards, service)
 		for j := range p.replicas(i) {
 			id := carobbend.UpstreamID(fmt.Sprintf("%s-%d", service, j))
 			u := &upstream{sheds: p.sheds(i, j), pause: p.pause, pauseInterval: p.pauseInterval}
+			u.slowness, u.free = 1, make([]time.Time, p.slotCount())
+			if p.slowness != nil {
+				u.slowness = p.slowness(i, j)
+			}
 			if p.pauseInterval > 0 {
 				u.firstPause = epoch.Add(time.Duration(s.rng.Int64N(int64(p.pauseInterval))))
 			}
@@ -165,8 +194,9 @@
 	for i := range p.instances {
 		budget := hedger.NewWindowBudget(10 * time.Second)
 		budget.Set(epoch.Add(-time.Minute), p.extraRatio, p.extraSlack/float64(p.instances))
-		s.instances = append(s.instances, &instance{budget, scatterer.New(scatterer.Config{
-			Balancer:    scatterer.NewBalancer(balancer.WithSeed(seed + uint64(i))),
+		b := scatterer.NewBalancer(balancer.WithSeed(seed + uint64(i)))
+		s.instances = append(s.instances, &instance{budget: budget, balancer: b, scatterer: scatterer.New(scatterer.Config{
+			Balancer:    b,
 			RetryBudget: budget, Hedger: hedger.New(),
 			Candidates: func(service string) []carobbend.UpstreamID { return s.candidates[service] },
 		})})
@@ -179,6 +209,7 @@
 	for at := epoch; at.Before(epoch.Add(simulatedTime)); at = at.Add(time.Duration(s.rng.ExpFloat64() / s.pattern.rate * float64(time.Second))) {
 		heap.Push(&s.events, event{at, s.query})
 	}
+	s.shareObservations()
 	for s.events.Len() > 0 {
 		ev := heap.Pop(&s.events).(event)
 		ev.do(ev.at)
@@ -226,8 +257,12 @@
 		s.extra++
 	}
 	u, kind, end := s.upstreams[a.Upstream()], carobbend.FailureShed, now.Add(shedLatency)
-	if !u.sheds || s.rng.Float64() >= shedShare {
+	trouble := s.pattern.inTrouble(now)
+	if !u.sheds || !trouble || s.rng.Float64() >= shedShare {
 		d := time.Duration(float64(s.pattern.serviceTime) * (0.7 + 0.6*s.rng.Float64()))
+		if trouble {
+			d = time.Duration(u.slowness * float64(d))
+		}
 		if at, ok := u.accept(now, d); ok {
 			kind, end = carobbend.FailureNone, at
 		}
@@ -260,3 +295,50 @@
 		}
 	}
 }
+
+// shareDelay is the time that a report takes.
+const shareDelay = 5 * time.Millisecond
+
+// shareObservations plans the reports of all instances.
+func (s *simulation) shareObservations() {
+	if !s.pattern.shared {
+		return
+	}
+	records := map[string]carobbend.UpstreamRecord{}
+	for id := range s.upstreams {
+		records[string(id)] = carobbend.UpstreamRecord{ID: id}
+	}
+	list := make([]carobbend.Instance, 0, len(s.instances))
+	for i := range s.instances {
+		list = append(list, carobbend.Instance{Name: strconv.Itoa(i), PeerAddress: "x"})
+	}
+	for i, x := range s.instances {
+		x.reporter = reporter.NewCore(list[i].Name)
+		x.reporter.SetInstances(list)
+		x.reporter.SetUpstreams(records)
+		phase := time.Duration(i) * reporter.Interval / time.Duration(len(s.instances))
+		for at := epoch.Add(phase); at.Before(epoch.Add(simulatedTime)); at = at.Add(reporter.Interval) {
+			heap.Push(&s.events, event{at, func(now time.Time) { s.report(now, list[i].Name, x) }})
+		}
+	}
+}
+
+// report sends the report of an instance, if there is one.
+func (s *simulation) report(now time.Time, name string, x *instance) {
+	r := x.reporter.Next(now, x.balancer.TakeObservations(now, nil))
+	if r == nil {
+		return
+	}
+	for _, peer := range x.reporter.Peers() {
+		j, err := strconv.Atoi(peer)
+		if err != nil {
+			panic(err)
+		}
+		s.messages++
+		s.messageBytes += proto.Size(r)
+		heap.Push(&s.events, event{now.Add(shareDelay), func(now time.Time) {
+			y := s.instances[j]
+			y.balancer.RecordPeerObservations(now, y.reporter.Receive(name, r))
+		}})
+	}
+}
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -26,6 +26,9 @@
 	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
 	// ExtraLoad bounds hedges and retries.
 	ExtraLoad ForwardExtraLoad `yaml:"extra-load"`
+	// ShareObservations says that this instance tells others what it observes of upstreams in trouble, and takes in what they
+	// tell. It needs Listen.Peers.
+	ShareObservations bool `yaml:"share-observations"`
 }
 
 // ForwardListen holds IP addresses with ports.
--- a/settings/forward_test.go
+++ b/settings/forward_test.go
@@ -48,6 +48,9 @@
 			}
 			got, err := LoadForward(file)
 			if c.line == 0 {
+				if got != nil && got.ShareObservations {
+					t.Error("got observations shared by default, want not")
+				}
 				if err != nil || got.Lease != 2500*time.Millisecond || got.StopGrace != 6*time.Second || got.ExtraLoad.Window != 10*time.Second {
 					t.Errorf("got %+v, %v, want the defaults", got, err)
 				}
