--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -24,6 +24,7 @@
 	"carobbend.example/carobbend/meter"
 	"carobbend.example/carobbend/platform"
 	"carobbend.example/carobbend/relayer"
+	"carobbend.example/carobbend/reporter"
 	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/router"
 	"carobbend.example/carobbend/scatterer"
@@ -74,8 +75,10 @@
 	relay *relayer.Relay
 	// allotments bounds the requests of accounts with a limit.
 	allotments *allotter.Runner
-	meter      *meter.Forward
-	draining   chan struct{}
+	// reporter shares observations of upstreams; nil unless the settings ask for it.
+	reporter *reporter.Reporter
+	meter    *meter.Forward
+	draining chan struct{}
 	// suspensionDetector detects that the machine was suspended while no request arrived.
 	suspensionDetector timekeeper.SuspensionDetector
 	// active is set while this instance serves rather than being in reserve, retiring while it still serves and is about to
@@ -150,6 +153,10 @@
 		return x
 	}
 	x.links.AddHandlers(x.relay, x.allotments)
+	if cfg.ShareObservations {
+		x.reporter = reporter.New(x.self.Name, x.balancer, x.links)
+		x.links.AddHandlers(x.reporter)
+	}
 	x.setFeed(relayer.NewFeed(platform.NewFeed(x.store), x.self, x.links))
 	return x
 }
@@ -186,6 +193,7 @@
 		Upstreams:  func() int64 { return int64(x.upstreams.Size()) },
 		Members:    func() int64 { return int64(x.selector.InstanceCount()) },
 		Allotments: x.allotments.Accounts,
+		Reports:    x.reportCounts,
 		RoutingVersion: func() int64 {
 			if t := x.router.Table(); t != nil {
 				return int64(t.Version())
@@ -201,6 +209,14 @@
 	return nil
 }
 
+// reportCounts returns the totals of the reporter, which are 0 without one.
+func (x *forwardInstance) reportCounts() reporter.Counts {
+	if x.reporter == nil {
+		return reporter.Counts{}
+	}
+	return x.reporter.Counts()
+}
+
 // distance returns the factor on an upstream's score, which prefers upstreams in this data centre.
 func (x *forwardInstance) distance(id carobbend.UpstreamID) float64 {
 	if r, ok := x.upstreams.Record(id); ok && r.DataCentre == x.self.DataCentre {
@@ -253,6 +269,9 @@
 	}
 	x.forwarder.UpdateRestrictions(all)
 	c := x.upstreams.Update(all)
+	if x.reporter != nil {
+		x.reporter.SetUpstreams(records)
+	}
 	now := time.Now()
 	for _, r := range c.Joined {
 		x.balancer.Remove(r.ID)
@@ -280,6 +299,7 @@
 	if x.active.Load() {
 		x.allotments.Update(instances)
 	}
+	x.updateReporter(instances)
 	before := x.selector.InstanceCount()
 	x.selector.Update(instances)
 	n := x.selector.InstanceCount()
@@ -289,6 +309,19 @@
 	}
 }
 
+// updateReporter names the serving instances to the reporter. One in reserve isn't among them.
+func (x *forwardInstance) updateReporter(instances map[string]carobbend.Instance) {
+	if x.reporter == nil || !x.active.Load() {
+		return
+	}
+	list := make([]carobbend.Instance, 0, len(instances))
+	for _, i := range instances {
+		list = append(list, i)
+	}
+	x.links.ApplyList(list)
+	x.reporter.SetInstances(instances)
+}
+
 // updateRetryBudget sets this instance's share of the extra load that n instances may cause together.
 func (x *forwardInstance) updateRetryBudget(n int) {
 	bound := x.cfg.ExtraLoad
--- a/meter/forward_test.go
+++ b/meter/forward_test.go
@@ -11,6 +11,7 @@
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/allotter"
 	"carobbend.example/carobbend/forwarder"
+	"carobbend.example/carobbend/reporter"
 	"carobbend.example/carobbend/restrictor"
 	"carobbend.example/carobbend/scatterer"
 )
@@ -28,6 +29,7 @@
 			return []restrictor.DataCentreStatus{{Name: "z1", Evacuated: true, InFlight: 2}, {Name: "z2"}}
 		},
 		Restricted: func() map[restrictor.Reason]int { return map[restrictor.Reason]int{restrictor.Paused: 3} },
+		Reports:    func() reporter.Counts { return reporter.Counts{Sent: 1, Failed: 2, Received: 3, Entries: 4, Bytes: 5} },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -48,6 +50,8 @@
 		`carobbend_account_reserve_used_total{account="a0"} 2`,
 		`carobbend_data_centre_evacuated{data_centre="z1"} 1`, `carobbend_data_centre_evacuated{data_centre="z2"} 0`,
 		`carobbend_data_centre_requests_in_flight{data_centre="z1"} 2`, `carobbend_upstreams_restricted{reason="paused"} 3`,
+		"carobbend_reports_sent_total 1", "carobbend_reports_failed_total 2",
+		"carobbend_reports_received_total 3", "carobbend_report_entries_total 4", "carobbend_report_sent_bytes_total 5",
 	} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("metrics lack %s", want)
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -34,6 +34,9 @@
 	FirstStart bool `yaml:"first-start"`
 	// Allotments bounds the requests of client accounts with a limit.
 	Allotments ForwardAllotments `yaml:"allotments"`
+	// ShareObservations says that this instance tells others what it observes of upstreams in trouble, and takes in what they
+	// tell. It needs Listen.Peers.
+	ShareObservations bool `yaml:"share-observations"`
 }
 
 // ForwardListen holds IP addresses with ports.
--- a/settings/forward_test.go
+++ b/settings/forward_test.go
@@ -53,6 +53,9 @@
 			}
 			got, err := LoadForward(file)
 			if c.line == 0 {
+				if got != nil && got.ShareObservations {
+					t.Error("got observations shared by default, want not")
+				}
 				if err != nil || got.Lease != 2500*time.Millisecond || got.StopGrace != 6*time.Second || got.ExtraLoad.Window != 10*time.Second ||
 					got.DrainTime != 3*time.Second || got.Allotments != (ForwardAllotments{5 * time.Second, 0.1, 20}) || got.Warmup.Overage != 1 {
 					t.Errorf("got %+v, %v, want the defaults", got, err)
