balancer: leave reported replicas out of the expected latency

A replica that others report as failing gets no requests, so that an instance's own observations of it stay good. The expected latency was that of the best replica, so queries were admitted because of one that no request went to, and queued at the others. Replicas that reports make unreliable are now left out while another one isn't reported; the latency is still that of own observations alone.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -352,16 +352,18 @@
 // ExpectedLatency returns the expected latency of a new request at the best candidate, for a kind of request with the given
 // typical latency. It is the larger of the smoothed latency and the time that the queue takes (wait for each request per slot),
 // times the number of attempts expected from the failure rate. Each request that the upstream sheds although it has capacity
-// adds shedLatency only, since such sheds don't slow down accepted requests. Ejected candidates are used only if there
-// is no other one.
+// adds shedLatency only, since such sheds don't slow down accepted requests. Candidates that others report as failing or shedding,
+// and ejected ones, are used only if there is no other one. The latency is that of own observations, so that wrong reports of all
+// candidates have no effect.
 func (b *Balancer) ExpectedLatency(now time.Time, candidates []carobbend.UpstreamID, typical, wait time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	lowest := math.Inf(1)
+	skipReported := b.someUnreported(now, candidates)
 	for _, ejected := range []bool{false, true} {
 		for _, id := range candidates {
 			n := b.node(now, id)
-			if n.leaving || now.Before(n.ejectedUntil) != ejected {
+			if n.leaving || now.Before(n.ejectedUntil) != ejected || skipReported && n.isReported(now) {
 				continue
 			}
 			smoothed := max(n.ownLatency(now, float64(referenceLatency), b.latencyDecay), n.inFlightLatency(now)) / float64(referenceLatency) * float64(typical)
@@ -377,6 +379,18 @@
 	return time.Duration(min(lowest, float64(noCandidateLatency)))
 }
 
+// someUnreported reports whether others report trouble of some of the candidates and not of all.
+func (b *Balancer) someUnreported(now time.Time, candidates []carobbend.UpstreamID) bool {
+	reported, unreported := false, false
+	for _, id := range candidates {
+		if n := b.node(now, id); !n.leaving {
+			r := n.isReported(now)
+			reported, unreported = reported || r, unreported || !r
+		}
+	}
+	return reported && unreported
+}
+
 // AcceptanceRate returns the highest recent acceptance rate of a candidate, i.e. the share of requests that it doesn't shed
 // while it has capacity. Ejected candidates are used only if there is no other one.
 func (b *Balancer) AcceptanceRate(now time.Time, candidates []carobbend.UpstreamID) float64 {
--- a/balancer/observations.go
+++ b/balancer/observations.go
@@ -164,6 +164,12 @@
 	return (ownWeight*own + w*reported) / (ownWeight + w)
 }
 
+// isReported reports whether the reports of others keep requests away from the upstream.
+func (n *node) isReported(now time.Time) bool {
+	evidence, value := n.peers.decay(now)
+	return evidence*value > 0 && !n.isReliable(now)
+}
+
 // count adds a finished request to the observations that will be reported; latency is normalized.
 func (n *node) count(now time.Time, kind carobbend.FailureKind, latency time.Duration, load float64) {
 	l := float64(latency) / float64(referenceLatency)
--- a/balancer/observations_test.go
+++ b/balancer/observations_test.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// TestReportedUpstreamHidesNoQueue guards against queries that are admitted because of a replica that others report as failing: it
+// gets no requests, so its own observations look good, while those that it would have got queue at the last other one.
+func TestReportedUpstreamHidesNoQueue(t *testing.T) {
+	b := newSharing()
+	observeReplies(b, "full", 10, 80*ms, after(time.Second))
+	observeReplies(b, "failing", 10, 10*ms, after(time.Second))
+	for range 3 {
+		b.RecordPeerObservations(after(time.Second), []Observation{{Upstream: "failing", Served: 1, Failed: 9}})
+	}
+	if got := b.ExpectedLatency(after(time.Second), ids("full", "failing"), 20*ms, 20*ms); got < 60*ms {
+		t.Errorf("got an expected latency of %v, want that of the full replica, 60 ms or more", got)
+	}
+}
+
 // TestTakeObservations guards against reports that hold healthy upstreams, which are most, against observations that are reported
 // twice, and against a recovery that is never reported.
 func TestTakeObservations(t *testing.T) {
