Borrow a token of a client account from an owner of its allotment on a miss

Three owners an account instead of eight keep the tokens together; parts are granted for 0.6 s instead of 2 s, which is also the time for which a restarted owner waits.

--- a/allotter/account.go
+++ b/allotter/account.go
@@ -40,6 +40,10 @@
 	// arrived and refusedNow count requests since the last tick.
 	arrived, refusedNow          int
 	served, fromReserve, refused int64
+	// lent counts the tokens that were given to requests at other instances. emptyUntil is the time until which owners aren't asked,
+	// since none had a token.
+	lent       int64
+	emptyUntil time.Duration
 }
 
 // part is a part that an owner granted to this instance.
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -39,14 +39,14 @@
 	whole = 1 << 16
 	// grantValidity is how long a granted part may be used, from when the request for it was sent. A process that lost its
 	// predecessor's list of grants waits for this time before it uses or grants its own parts.
-	grantValidity = 2 * time.Second
+	grantValidity = 600 * time.Millisecond
 	// clockMargin is added where an instance relies on a time measured by another one.
 	clockMargin = 50 * time.Millisecond
 	// confirmationValidity is how long an owner uses its parts after it last knew the record of owners to be current. An
 	// outage of the store lasts up to 14 s, and a quiet watch up to 4.5 s.
 	confirmationValidity = 20 * time.Second
 	// maxOwnersOfAccount is the number of owners among which one allotment is divided.
-	maxOwnersOfAccount = 8
+	maxOwnersOfAccount = 3
 	// reserveFraction is the fraction of the slack that the owners use as reserves, and burstFraction the one that is added to
 	// the burst, without which the parts of a small burst hold less than one request. The rest is a margin.
 	reserveFraction = 0.4
@@ -190,20 +190,27 @@
 	}
 	a.settle(x, now)
 	x.arrived++
-	if x.level >= 1 {
-		x.level--
+	if a.takeToken(x, now) {
 		x.served++
 		return 0, true
 	}
+	return a.refuse(x), false
+}
+
+// takeToken takes a token of this instance's parts, or one request of its reserve.
+func (a *Allotter) takeToken(x *account, now time.Duration) bool {
+	if x.level >= 1 {
+		x.level--
+		return true
+	}
 	if x.reserve.take(now, a.reserveOf(x, now)) {
-		x.served++
 		x.fromReserve++
-		return 0, true
+		return true
 	}
-	return a.refuse(x), false
+	return false
 }
 
-// Check reports whether Take would succeed now. Otherwise the request counts as refused, as by Take.
+// Check reports whether Take would succeed now, or an owner may lend a token. Otherwise the request counts as refused, as by Take.
 func (a *Allotter) Check(now time.Duration, l *carobbend.Account) (retryAfter time.Duration, ok bool) {
 	if a.cfg.Window <= 0 {
 		return 0, true
@@ -215,7 +222,7 @@
 		x = a.setLimit(now, l)
 	}
 	a.settle(x, now)
-	if x.level >= 1 || x.reserve.left(now, a.reserveOf(x, now)) {
+	if x.level >= 1 || x.reserve.left(now, a.reserveOf(x, now)) || len(x.owners) > 0 && now >= x.emptyUntil {
 		return 0, true
 	}
 	x.arrived++
--- a/allotter/asking.go
+++ b/allotter/asking.go
@@ -118,13 +118,19 @@
 	}
 }
 
-// request returns the request to an owner if one is due.
-func (a *Allotter) request(owner string, list []target, now time.Duration) (Request, bool) {
+// exchangeWith returns the state of the exchange with an owner.
+func (a *Allotter) exchangeWith(owner string) *exchange {
 	e := a.asked[owner]
 	if e == nil {
-		e = &exchange{changed: map[*account]uint32{}, believed: map[*account]bool{}, sent: now - renewInterval}
+		e = &exchange{changed: map[*account]uint32{}, believed: map[*account]bool{}, sent: -renewInterval}
 		a.asked[owner] = e
 	}
+	return e
+}
+
+// request returns the request to an owner if one is due.
+func (a *Allotter) request(owner string, list []target, now time.Duration) (Request, bool) {
+	e := a.exchangeWith(owner)
 	if e.outstanding != 0 && now < e.sent+replyTimeout || now < e.pauseUntil || now < e.sent+askInterval {
 		return Request{}, false
 	}
--- a/allotter/runner.go
+++ b/allotter/runner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	writeTimeout = time.Second
 )
 
+var errNoTokenReply = errors.New("the reply isn't one to a request for a token")
+
 // Peers sends requests to other instances. *linker.Linker implements it.
 type Peers interface {
 	// ApplyList replaces the list of instances.
@@ -70,8 +73,55 @@
 }
 
 // Take takes a token of a limited account for one request. Without one it returns false and the time after which one is expected.
-func (r *Runner) Take(account *carobbend.Account) (retryAfter time.Duration, ok bool) {
-	return r.core.Take(r.now(), account)
+//
+// If this instance has none, it asks the owners of the allotment, within some milliseconds: an account that sends little has too few
+// tokens to spread them over the instances in advance.
+func (r *Runner) Take(ctx context.Context, account *carobbend.Account) (retryAfter time.Duration, ok bool) {
+	retryAfter, ok = r.core.Take(r.now(), account)
+	if ok || r.peers == nil {
+		return retryAfter, ok
+	}
+	owners, hash := r.core.Lenders(r.now(), account)
+	if len(owners) == 0 {
+		return retryAfter, false
+	}
+	soonest := time.Duration(0)
+	for _, owner := range owners {
+		reply, err := r.borrow(ctx, owner, hash)
+		switch {
+		case ctx.Err() != nil:
+			return retryAfter, false
+		case err != nil:
+			r.core.LenderFailed(r.now(), owner)
+		case reply.GetGiven():
+			r.core.Borrowed(account)
+			return 0, true
+		case reply.GetRetryAfterMs() > 0:
+			after := time.Duration(min(reply.GetRetryAfterMs(), uint64(maxRetryAfter.Milliseconds()))) * time.Millisecond
+			if soonest == 0 || after < soonest {
+				soonest = after
+			}
+		}
+	}
+	r.core.NoneLent(r.now(), account, soonest)
+	if soonest > 0 {
+		retryAfter = min(retryAfter, soonest)
+	}
+	return retryAfter, false
+}
+
+// borrow asks an owner for one token.
+func (r *Runner) borrow(ctx context.Context, owner string, hash uint32) (*encoder.TokenReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	reply, err := r.peers.Ask(ctx, owner, &encoder.Frame{Body: &encoder.Frame_TokenRequest{TokenRequest: &encoder.TokenRequest{Account: hash}}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetTokenReply() == nil {
+		return nil, errNoTokenReply
+	}
+	return reply.GetTokenReply(), nil
 }
 
 // Return gives back the token of a request that was not run by any upstream and never will be.
@@ -97,6 +147,11 @@
 
 // HandlePeer implements carobbend.PeerHandler.
 func (r *Runner) HandlePeer(_ context.Context, from string, req *encoder.Frame) *encoder.Frame {
+	if q := req.GetTokenRequest(); q != nil {
+		after, ok := r.core.Lend(r.now(), q.GetAccount())
+		reply := &encoder.TokenReply{Given: ok, RetryAfterMs: uint64(after.Milliseconds())}
+		return &encoder.Frame{Body: &encoder.Frame_TokenReply{TokenReply: reply}}
+	}
 	q := req.GetGrantRequest()
 	if q == nil {
 		return nil
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -79,8 +79,9 @@
 type Allotments interface {
 	// Check reports whether Take would succeed now, or after which time it is expected to.
 	Check(*carobbend.Account) (retryAfter time.Duration, ok bool)
-	// Take takes a token for one request, or returns the time after which one is expected.
-	Take(*carobbend.Account) (retryAfter time.Duration, ok bool)
+	// Take takes a token for one request, or returns the time after which one is expected. It may ask other instances, for some
+	// milliseconds at most.
+	Take(context.Context, *carobbend.Account) (retryAfter time.Duration, ok bool)
 	// Return gives back a token of a request that didn't run.
 	Return(*carobbend.Account)
 }
@@ -284,7 +285,7 @@
 	if refused := q.decideAgain(r.Header, host, path); refused != nil {
 		return refused
 	}
-	if refused := q.takeToken(); refused != nil {
+	if refused := q.takeToken(r.Context()); refused != nil {
 		return refused
 	}
 	q.request = &exchanger.Request{
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -140,7 +140,7 @@
 					return late
 				}
 			}
-			if !q.renewToken() {
+			if !q.renewToken(ctx) {
 				return gatherer.Step{Action: gatherer.Fail}
 			}
 			for _, a := range step.Launch {
--- a/forwarder/token.go
+++ b/forwarder/token.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -38,12 +39,12 @@
 }
 
 // takeToken takes a token for a request of a limited account.
-func (q *query) takeToken() *refusal {
+func (q *query) takeToken(ctx context.Context) *refusal {
 	if !q.isLimited() {
 		q.countForRetries()
 		return nil
 	}
-	after, ok := q.f.Allotments.Take(q.account)
+	after, ok := q.f.Allotments.Take(ctx, q.account)
 	if !ok {
 		return overLimit(after)
 	}
@@ -68,10 +69,10 @@
 
 // renewToken takes another token for a request that has not run yet although its token was taken a while ago, since upstreams refused
 // it or the process was stopped. It returns false if there is none; the request then isn't sent any more.
-func (q *query) renewToken() bool {
+func (q *query) renewToken(ctx context.Context) bool {
 	if q.tokenTaken == 0 || q.scatter.Runs() > 0 || timekeeper.Boot() <= q.tokenTaken+tokenValidity {
 		return true
 	}
-	q.limitRefusal = q.takeToken()
+	q.limitRefusal = q.takeToken(ctx)
 	return q.limitRefusal == nil
 }
