--- a/allotter/account.go
+++ b/allotter/account.go
@@ -26,20 +26,20 @@
 	// owners are the owners of the account in the order in which this instance asks them, and shareOfOwner is what each owns.
 	owners       []string
 	shareOfOwner int
-	// reserveOwners and formerReserveOwners are the numbers of owners that share the reserve.
-	reserveOwners, formerReserveOwners int
+	// overdraftOwners and formerOverdraftOwners are the numbers of owners that share the overdraft.
+	overdraftOwners, formerOverdraftOwners int
 	// aim is the number of parts that this instance tries to hold.
 	aim int
 	// contended says that an owner lowered a part since others claim it.
 	contended bool
 	held      map[string]part
 	given     map[string]grant
-	reserve   reserve
+	overdraft overdraft
 
 	demand demand
 	// arrived and refusedNow count requests since the last tick.
-	arrived, refusedNow          int
-	served, fromReserve, refused int64
+	arrived, refusedNow            int
+	served, fromOverdraft, refused int64
 }
 
 // part is a part that an owner granted to this instance.
@@ -72,38 +72,40 @@
 	x.at = now
 }
 
-// reserveCells is the number of cells of a window in which the use of a reserve is counted. One more is kept, so that a
+// overdraftCells is the number of cells of a window in which the use of an overdraft is counted. One more is kept, so that a
 // request counts until its whole cell has left the window.
-const reserveCells = 10
+const overdraftCells = 10
 
-// reserve counts the requests that were served without tokens in the last window.
-type reserve struct {
+// overdraft counts the requests that were served without tokens in the last window.
+type overdraft struct {
 	cell    time.Duration
 	current int64
-	used    [reserveCells + 1]int
+	used    [overdraftCells + 1]int
 }
 
-func newReserve(window time.Duration) reserve { return reserve{cell: max(window/reserveCells, 1)} }
+func newOverdraft(window time.Duration) overdraft {
+	return overdraft{cell: max(window/overdraftCells, 1)}
+}
 
 // take counts a request if fewer than allowed were counted in the window.
-func (r *reserve) take(now time.Duration, allowed int) bool {
+func (r *overdraft) take(now time.Duration, allowed int) bool {
 	if !r.left(now, allowed) {
 		return false
 	}
-	r.used[r.current%(reserveCells+1)]++
+	r.used[r.current%(overdraftCells+1)]++
 	return true
 }
 
 // left reports whether fewer requests than allowed were counted in the window.
-func (r *reserve) left(now time.Duration, allowed int) bool {
+func (r *overdraft) left(now time.Duration, allowed int) bool {
 	cell := int64(now / r.cell)
-	if cell-r.current > reserveCells {
-		r.used = [reserveCells + 1]int{}
+	if cell-r.current > overdraftCells {
+		r.used = [overdraftCells + 1]int{}
 		r.current = cell
 	}
 	for r.current < cell {
 		r.current++
-		r.used[r.current%(reserveCells+1)] = 0
+		r.used[r.current%(overdraftCells+1)] = 0
 	}
 	sum := 0
 	for _, n := range r.used {
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -3,7 +3,7 @@
 // An allotment is a token bucket of a rate and a burst. It is divided into parts, and an instance serves a request only
 // with a token that its parts of the account's bucket earned. A record in the store names the owners of all allotments,
 // among which each allotment is divided evenly; an owner grants parts to other instances that ask for them, for a short
-// time. Beside that, each owner has a small reserve: a number of requests in any window without tokens. docs/design/allotments.md
+// time. Beside that, each owner has a small overdraft: a number of requests in any window without tokens. docs/design/allotments.md
 // states the argument why the sum holds in each window.
 //
 // The package does no I/O. Times are on the boot-time clock (timekeeper.Boot), so that a part is never used after its
@@ -47,10 +47,10 @@
 	confirmationValidity = 20 * time.Second
 	// maxOwnersOfAccount is the number of owners among which one allotment is divided.
 	maxOwnersOfAccount = 8
-	// reserveFraction is the fraction of the slack that the owners use as reserves, and burstFraction the one that is added to
+	// overdraftFraction is the fraction of the slack that the owners use as overdrafts, and burstFraction the one that is added to
 	// the burst, without which the parts of a small burst hold less than one request. The rest is a margin.
-	reserveFraction = 0.4
-	burstFraction   = 0.55
+	overdraftFraction = 0.4
+	burstFraction     = 0.55
 	// deliveryTime is the time between the decision on a request and its arrival at an upstream for which the overage makes room.
 	deliveryTime = 300 * time.Millisecond
 	// maxRetryAfter bounds the time after which a refused request may come back.
@@ -149,7 +149,7 @@
 	if x == nil {
 		x = &account{
 			name: l.Name, hash: uint32(xxhash.Sum64String(l.Name)), at: now, next: now, fresh: true,
-			held: map[string]part{}, given: map[string]grant{}, reserve: newReserve(a.cfg.Window),
+			held: map[string]part{}, given: map[string]grant{}, overdraft: newOverdraft(a.cfg.Window),
 		}
 		a.accounts[l.Name] = x
 		if other := a.byHash[x.hash]; other != nil {
@@ -195,9 +195,9 @@
 		x.served++
 		return 0, true
 	}
-	if x.reserve.take(now, a.reserveOf(x, now)) {
+	if x.overdraft.take(now, a.overdraftOf(x, now)) {
 		x.served++
-		x.fromReserve++
+		x.fromOverdraft++
 		return 0, true
 	}
 	return a.refuse(x), false
@@ -215,7 +215,7 @@
 		x = a.setLimit(now, l)
 	}
 	a.settle(x, now)
-	if x.level >= 1 || x.reserve.left(now, a.reserveOf(x, now)) {
+	if x.level >= 1 || x.overdraft.left(now, a.overdraftOf(x, now)) {
 		return 0, true
 	}
 	x.arrived++
@@ -304,8 +304,8 @@
 	Rate, Burst float64
 	// Share is the fraction of the allotment that this instance holds, and Granted the one that it granted to others.
 	Share, Granted float64
-	// Served, FromReserve and Refused count requests; FromReserve is the number of served ones without a token.
-	Served, FromReserve, Refused int64
+	// Served, FromOverdraft and Refused count requests; FromOverdraft is the number of served ones without a token.
+	Served, FromOverdraft, Refused int64
 }
 
 // Accounts returns the state of the limited accounts, ordered by name.
@@ -324,7 +324,7 @@
 		}
 		out = append(out, Account{
 			Name: x.name, Rate: x.limitRate, Burst: x.limitBurst, Share: float64(x.parts) / whole, Granted: float64(granted) / whole,
-			Served: x.served, FromReserve: x.fromReserve, Refused: x.refused,
+			Served: x.served, FromOverdraft: x.fromOverdraft, Refused: x.refused,
 		})
 	}
 	slices.SortFunc(out, func(p, q Account) int { return cmp.Compare(p.Name, q.Name) })
--- a/allotter/granting.go
+++ b/allotter/granting.go
@@ -90,7 +90,7 @@
 }
 
 // fairParts returns the parts that a claim of wanted parts gets if the claims of all exceed what this instance owns.
-func (a *Allotter) fairParts(x *account, now time.Duration, from string, wanted int) (fair, free, reserved int) {
+func (a *Allotter) fairParts(x *account, now time.Duration, from string, wanted int) (fair, free, ownClaim int) {
 	owned := a.ownParts(x, now)
 	own := min(x.wanted(), owned)
 	sum, others := wanted+own, 0
@@ -115,8 +115,8 @@
 	}
 	x.given[from] = g
 	a.update(x, now)
-	fair, free, reserved := a.fairParts(x, now, from, g.wanted)
-	parts := max(min(fair, free-reserved), 0)
+	fair, free, ownClaim := a.fairParts(x, now, from, g.wanted)
+	parts := max(min(fair, free-ownClaim), 0)
 	if parts < g.parts && g.wanted >= g.parts && fair >= g.parts {
 		// What it holds already is within its fair part.
 		parts = g.parts
@@ -152,8 +152,8 @@
 	g.until = until
 	x.given[from] = g
 	a.update(x, now)
-	fair, free, reserved := a.fairParts(x, now, from, g.wanted)
-	more := min(fair, free-reserved, g.wanted) - g.parts
+	fair, free, ownClaim := a.fairParts(x, now, from, g.wanted)
+	more := min(fair, free-ownClaim, g.wanted) - g.parts
 	switch {
 	case x.unshared:
 		list(reply, x.hash, 0, 0)
--- a/allotter/owners.go
+++ b/allotter/owners.go
@@ -73,20 +73,20 @@
 
 // assign determines the owners of an account and this instance's shares.
 func (o *ownership) assign(x *account, self string) {
-	x.owners, x.share, x.formerShare, x.reserveOwners, x.formerReserveOwners, x.shareOfOwner = nil, 0, 0, 0, 0, 0
+	x.owners, x.share, x.formerShare, x.overdraftOwners, x.formerOverdraftOwners, x.shareOfOwner = nil, 0, 0, 0, 0, 0
 	if o.record == nil {
 		return
 	}
 	owners := ownersOf(x.name, o.record.Owners)
 	x.shareOfOwner = whole / max(len(owners), 1)
 	if slices.Contains(owners, self) {
-		x.share, x.reserveOwners = x.shareOfOwner, len(owners)
+		x.share, x.overdraftOwners = x.shareOfOwner, len(owners)
 	}
-	x.formerShare, x.formerReserveOwners = x.share, x.reserveOwners
+	x.formerShare, x.formerOverdraftOwners = x.share, x.overdraftOwners
 	if len(o.record.Former) > 0 {
-		x.formerShare, x.formerReserveOwners = 0, 0
+		x.formerShare, x.formerOverdraftOwners = 0, 0
 		if former := ownersOf(x.name, o.record.Former); slices.Contains(former, self) {
-			x.formerShare, x.formerReserveOwners = whole/len(former), len(former)
+			x.formerShare, x.formerOverdraftOwners = whole/len(former), len(former)
 		}
 	}
 	x.owners = askingOrder(self, owners)
@@ -169,22 +169,22 @@
 	return x.share
 }
 
-// reserveOf returns the number of requests in a window that this instance may serve without tokens.
-func (a *Allotter) reserveOf(x *account, at time.Duration) int {
-	if at < a.started+a.cfg.Window*(reserveCells+1)/reserveCells || at >= a.authorityEnd() {
+// overdraftOf returns the number of requests in a window that this instance may serve without tokens.
+func (a *Allotter) overdraftOf(x *account, at time.Duration) int {
+	if at < a.started+a.cfg.Window*(overdraftCells+1)/overdraftCells || at >= a.authorityEnd() {
 		return 0
 	}
-	n := x.reserveOwners
+	n := x.overdraftOwners
 	if at < a.owners.learned+a.hold() {
-		n = max(n, x.formerReserveOwners)
-		if x.formerReserveOwners == 0 {
+		n = max(n, x.formerOverdraftOwners)
+		if x.formerOverdraftOwners == 0 {
 			return 0
 		}
 	}
-	if x.reserveOwners == 0 {
+	if x.overdraftOwners == 0 {
 		return 0
 	}
-	return int(reserveFraction * a.cfg.Slack / float64(n))
+	return int(overdraftFraction * a.cfg.Slack / float64(n))
 }
 
 // nextOwnChange returns the first time after at when ownParts may change by itself.
--- a/allotter/random_test.go
+++ b/allotter/random_test.go
@@ -47,8 +47,8 @@
 	// undivided is the level of a bucket that isn't divided, as of the time at.
 	undivided map[string]float64
 	at        time.Duration
-	// reserves holds the requests that were served without tokens.
-	reserves map[string][]time.Duration
+	// overdrafts holds the requests that were served without tokens.
+	overdrafts map[string][]time.Duration
 }
 
 func (d *adversary) start(name string) {
@@ -262,17 +262,17 @@
 		return
 	}
 	for range n {
-		before := a.accounts[limits.Name].fromReserve
+		before := a.accounts[limits.Name].fromOverdraft
 		if _, ok := a.Take(d.now, &limits); !ok {
 			continue
 		}
 		d.runs[limits.Name] = append(d.runs[limits.Name], d.now)
-		if a.accounts[limits.Name].fromReserve == before {
+		if a.accounts[limits.Name].fromOverdraft == before {
 			d.undivided[limits.Name]--
 			continue
 		}
-		d.reserves[limits.Name] = append(d.reserves[limits.Name], d.now)
-		if got, most := countIn(d.reserves[limits.Name], d.now), reserveFraction*testSlack; float64(got) > most {
+		d.overdrafts[limits.Name] = append(d.overdrafts[limits.Name], d.now)
+		if got, most := countIn(d.overdrafts[limits.Name], d.now), overdraftFraction*testSlack; float64(got) > most {
 			d.t.Fatalf("account %s, window to %v: got %d requests without tokens, want at most %v", limits.Name, d.now, got, most)
 		}
 	}
@@ -283,7 +283,7 @@
 // with processes that are killed, frozen or cut from each other and from the store, changes of the owners and lower limits.
 func TestBoundHoldsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := &adversary{t: t, processes: map[string]*Allotter{}, version: map[*Allotter]int{}, runs: map[string][]time.Duration{}, undivided: map[string]float64{}, reserves: map[string][]time.Duration{}}
+		d := &adversary{t: t, processes: map[string]*Allotter{}, version: map[*Allotter]int{}, runs: map[string][]time.Duration{}, undivided: map[string]float64{}, overdrafts: map[string][]time.Duration{}}
 		d.limits = [][]carobbend.Account{{
 			{Name: "big", Rate: 46, Burst: 46}, {Name: "small", Rate: 0.8, Burst: 1},
 		}}
@@ -338,7 +338,7 @@
 		for which, name := range []string{"big", "small"} {
 			for _, at := range d.runs[name] {
 				rate, burst := d.greatest(which, at)
-				most := rate*testWindow.Seconds() + burst + reserveFraction*testSlack
+				most := rate*testWindow.Seconds() + burst + overdraftFraction*testSlack
 				if got := countIn(d.runs[name], at); float64(got) > most+0.01 {
 					t.Fatalf("account %s, window to %v: got %d requests, want at most %v", name, at, got, most)
 				}
--- a/meter/accounts.go
+++ b/meter/accounts.go
@@ -133,12 +133,12 @@
 			}))
 		b.setErr(err)
 	}
-	_, err = b.meter.Int64ObservableCounter("carobbend_account_reserve_used",
-		metric.WithDescription("Requests of the account that were served from the reserve, without a token."),
+	_, err = b.meter.Int64ObservableCounter("carobbend_account_overdraft",
+		metric.WithDescription("Requests of the account that were served from the overdraft, without a token."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			for _, x := range allotments() {
 				if a.has(x.Name) {
-					o.Observe(x.FromReserve, metric.WithAttributes(attribute.String("account", x.Name)))
+					o.Observe(x.FromOverdraft, metric.WithAttributes(attribute.String("account", x.Name)))
 				}
 			}
 			return nil
--- a/meter/forward_test.go
+++ b/meter/forward_test.go
@@ -21,7 +21,7 @@
 		StoreCalls: one, RoutingVersion: one, Upstreams: one, Connections: one, Opened: one, InFlight: one, Members: one,
 		DroppedLines: one, Ready: func() bool { return true },
 		Allotments: func() []allotter.Account {
-			return []allotter.Account{{Name: "a0", Rate: 46, Burst: 5, Share: 0.25, Granted: 0.1, FromReserve: 2}, {Name: "unseen"}}
+			return []allotter.Account{{Name: "a0", Rate: 46, Burst: 5, Share: 0.25, Granted: 0.1, FromOverdraft: 2}, {Name: "unseen"}}
 		},
 	})
 	if err != nil {
@@ -40,7 +40,7 @@
 		"carobbend_log_lines_dropped_total 1", `carobbend_account_requests_total{account="a0",outcome="over-limit"} 1`,
 		`carobbend_account_rate{account="a0"} 46`, `carobbend_account_burst{account="a0"} 5`,
 		`carobbend_account_share{account="a0"} 0.25`, `carobbend_account_granted{account="a0"} 0.1`,
-		`carobbend_account_reserve_used_total{account="a0"} 2`,
+		`carobbend_account_overdraft_total{account="a0"} 2`,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("metrics lack %s", want)
