--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -3,7 +3,7 @@
 // An allotment is a token bucket of a rate and a burst. It is divided into parts, and an instance serves a request only
 // with a token that its parts of the account's bucket earned. A record in the store names the owners of all allotments,
 // among which each allotment is divided evenly; an owner grants parts to other instances that ask for them, for a short
-// time. Beside that, each owner has a small reserve: a number of requests in any window without tokens. docs/design/allotments.md
+// time. Beside that, each owner has a small overdraft: a number of requests in any window without tokens. docs/design/allotments.md
 // states the argument why the sum holds in each window.
 //
 // The package does no I/O. Times are on the boot-time clock (timekeeper.Boot), so that a part is never used after its
@@ -39,18 +39,21 @@
 	whole = 1 << 16
 	// grantValidity is how long a granted part may be used, from when the request for it was sent. A process that lost its
 	// predecessor's list of grants waits for this time before it uses or grants its own parts.
-	grantValidity = 600 * time.Millisecond
+	grantValidity = 800 * time.Millisecond
 	// clockMargin is added where an instance relies on a time measured by another one.
 	clockMargin = 50 * time.Millisecond
 	// confirmationValidity is how long an owner uses its parts after it last knew the record of owners to be current. An
 	// outage of the store lasts up to 14 s, and a quiet watch up to 4.5 s.
 	confirmationValidity = 20 * time.Second
 	// maxOwnersOfAccount is the number of owners among which one allotment is divided.
-	maxOwnersOfAccount = 3
-	// reserveFraction is the fraction of the slack that the owners use as reserves, and burstFraction the one that is added to
-	// the burst, without which the parts of a small burst hold less than one request. The rest is a margin.
-	reserveFraction = 0.4
-	burstFraction   = 0.55
+	maxOwnersOfAccount = 4
+	// overdraftFraction is the fraction of the slack that the owners use as overdrafts, and marginFraction the one that isn't used.
+	overdraftFraction = 0.4
+	marginFraction    = 0.05
+	// burstFraction is the fraction of the bound of a window, without the overdrafts, that is the burst of the bucket. minBurst is the
+	// least one in requests: each owner's part must hold at least one token.
+	burstFraction = 0.15
+	minBurst      = 1.5 * maxOwnersOfAccount
 	// deliveryTime is the time between the decision on a request and its arrival at an upstream for which the overage makes room.
 	deliveryTime = 300 * time.Millisecond
 	// maxRetryAfter bounds the time after which a refused request may come back.
@@ -149,7 +152,7 @@
 	if x == nil {
 		x = &account{
 			name: l.Name, hash: uint32(xxhash.Sum64String(l.Name)), at: now, next: now, fresh: true,
-			held: map[string]part{}, given: map[string]grant{}, reserve: newReserve(a.cfg.Window),
+			held: map[string]part{}, given: map[string]grant{}, overdraft: newOverdraft(a.cfg.Window),
 		}
 		a.accounts[l.Name] = x
 		if other := a.byHash[x.hash]; other != nil {
@@ -163,10 +166,7 @@
 	}
 	a.settle(x, now)
 	x.removed = 0
-	w := a.cfg.Window.Seconds()
-	x.rate = l.Rate * min(1, w*(1+a.cfg.Overage)/(w+deliveryTime.Seconds()))
-	// What the overage allows beyond the delivery time adds to the burst.
-	x.burst = l.Burst*(1+a.cfg.Overage) + l.Rate*max(0, w*a.cfg.Overage-deliveryTime.Seconds()) + burstFraction*a.cfg.Slack
+	x.rate, x.burst = a.cfg.bucket(l)
 	x.limitRate, x.limitBurst = l.Rate, l.Burst
 	a.update(x, now)
 	if x.fresh && now > a.started+a.hold() {
@@ -177,6 +177,16 @@
 	return x
 }
 
+// bucket returns the rate and burst of the bucket of an account: with them and the overdrafts, the requests that arrive at upstreams in a
+// window reach the bound of the window and don't exceed it. A small part is burst, so that an account which sends evenly
+// can use nearly all that the bound allows.
+func (c Config) bucket(l *carobbend.Account) (rate, burst float64) {
+	w := c.Window.Seconds()
+	bound := (l.Rate*w+l.Burst)*(1+c.Overage) + (1-overdraftFraction-marginFraction)*c.Slack
+	burst = min(max(burstFraction*bound, minBurst), bound)
+	return (bound - burst) / (w + deliveryTime.Seconds()), burst
+}
+
 // Take takes a token of a limited account for one request. Without one it returns false and the time after which one is expected.
 func (a *Allotter) Take(now time.Duration, l *carobbend.Account) (retryAfter time.Duration, ok bool) {
 	if a.cfg.Window <= 0 {
@@ -203,8 +213,8 @@
 		x.level--
 		return true
 	}
-	if x.reserve.take(now, a.reserveOf(x, now)) {
-		x.fromReserve++
+	if x.overdraft.take(now, a.overdraftOf(x, now)) {
+		x.fromOverdraft++
 		return true
 	}
 	return false
@@ -222,7 +232,7 @@
 		x = a.setLimit(now, l)
 	}
 	a.settle(x, now)
-	if x.level >= 1 || x.reserve.left(now, a.reserveOf(x, now)) || len(x.owners) > 0 && now >= x.emptyUntil {
+	if x.level >= 1 || x.overdraft.left(now, a.overdraftOf(x, now)) || len(x.owners) > 0 && now >= x.emptyUntil {
 		return 0, true
 	}
 	x.arrived++
@@ -311,8 +321,8 @@
 	Rate, Burst float64
 	// Share is the fraction of the allotment that this instance holds, and Granted the one that it granted to others.
 	Share, Granted float64
-	// Served, FromReserve and Refused count requests; FromReserve is the number of served ones without a token.
-	Served, FromReserve, Refused int64
+	// Served, FromOverdraft and Refused count requests; FromOverdraft is the number of served ones without a token.
+	Served, FromOverdraft, Refused int64
 }
 
 // Accounts returns the state of the limited accounts, ordered by name.
@@ -331,7 +341,7 @@
 		}
 		out = append(out, Account{
 			Name: x.name, Rate: x.limitRate, Burst: x.limitBurst, Share: float64(x.parts) / whole, Granted: float64(granted) / whole,
-			Served: x.served, FromReserve: x.fromReserve, Refused: x.refused,
+			Served: x.served, FromOverdraft: x.fromOverdraft, Refused: x.refused,
 		})
 	}
 	slices.SortFunc(out, func(p, q Account) int { return cmp.Compare(p.Name, q.Name) })
--- a/allotter/asking.go
+++ b/allotter/asking.go
@@ -11,8 +11,9 @@
 	replyTimeout = 400 * time.Millisecond
 	// askInterval is the least time between two requests to one owner.
 	askInterval = 300 * time.Millisecond
-	// renewInterval is the time after which parts are extended. It leaves time for a second request if a reply is lost.
-	renewInterval = grantValidity * 6 / 10
+	// renewInterval is the time after which parts are extended. If a reply is lost, the parts end before the next one, and tokens are
+	// borrowed meanwhile.
+	renewInterval = grantValidity * 8 / 10
 	// shortTime is the time for which an owner that granted less than asked for isn't counted on for more.
 	// failurePause is the time for which an owner that didn't answer isn't asked. It doubles with each failure up to
 	// maxFailurePause.
--- a/allotter/demand.go
+++ b/allotter/demand.go
@@ -18,8 +18,9 @@
 	quietRequests = 3.0
 	// headroom multiplies the request rate for which parts are asked.
 	headroom = 1.5
-	// minDemand is the request rate a second below which no parts are asked for.
-	minDemand = 0.02
+	// minDemand is the request rate a second below which no parts are asked for: small parts hold less than a token. Tokens are borrowed
+	// instead.
+	minDemand = 4.0
 	// spareTokens and spareTime are the burst for which parts are asked: requests don't arrive evenly. Fewer tokens are asked for
 	// than requests are expected within spareMemory.
 	spareTokens = 2.0
