--- a/cmd/carobbend/harness_test.go
+++ b/cmd/carobbend/harness_test.go
@@ -59,7 +59,12 @@
 
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, cmd: exec.Command(program, args...), ready: make(chan []byte, 1), done: make(chan struct{})}
+	return startCommand(t, name, exec.Command(program, args...))
+}
+
+func startCommand(t *testing.T, name string, cmd *exec.Cmd) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: cmd, ready: make(chan []byte, 1), done: make(chan struct{})}
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
