forward: bound what callers can make an instance hold

Connections, heads, bodies that don't end and answers that aren't read were bounded by time alone, and on readiness, addresses and metrics by nothing that follows the routing: a head of very short fields takes some 16 times its length once it is parsed, and silent connections used up the descriptors of all listeners, after which linker.Serve ended the process.

limiter.Account divides memory-mb and the descriptors (new setting max-fds, by default the process's limit) among connections of each listener, heads, requests in flight and bodies that are still arriving. limiter.ConnTable decides without I/O which connections get a place and which are closed; acceptor.Guard wraps listeners and servers and carries that out. The limits of the routing in force apply to all listeners. Bodies may arrive until the request's deadline (before: 10 s).

--- a/cmd/carobbend/crowdlegal_test.go
+++ b/cmd/carobbend/crowdlegal_test.go
@@ -66,6 +66,7 @@
 						t.Fatal(err)
 					}
 					b, err := io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
 					if err != nil || resp.StatusCode != http.StatusOK || string(b) != want[0] {
 						t.Fatalf("got %d %q, %v, want 200 %q", resp.StatusCode, b, err, want[0])
 					}
--- a/cmd/carobbend/crowdstand_test.go
+++ b/cmd/carobbend/crowdstand_test.go
@@ -121,7 +121,7 @@
 		"upstream": "works", "address": upstream, "zone": "leon", "version": "1", "capacity": 100, "state": "ready",
 		"warmup_left_ms": 0, "sequence": 1, "born": 17,
 	}
-	items := []item{}
+	items := make([]item, 0, 2)
 	for k, v := range map[string]any{"op/config": config, "servers/works-1": entry} {
 		b, err := json.Marshal(v)
 		if err != nil {
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/acceptor"
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/enroller"
 	"carobbend.example/carobbend/exchanger"
@@ -45,8 +46,6 @@
 	// 30 ms. routingWaitWindow is the time after activation during which requests wait.
 	routingWaitTimeout = 100 * time.Millisecond
 	routingWaitWindow  = 500 * time.Millisecond
-	// requestMemoryFraction is the fraction of the memory that the requests in flight may hold.
-	requestMemoryFraction = 0.3
 )
 
 // forwardInstance is one forwarding instance with its components.
@@ -68,9 +67,13 @@
 	enroller    *enroller.Enroller
 	// links connect to other instances, whose requests for the list of instances relay answers; nil unless a peer address
 	// is set.
-	links    *linker.Linker
-	relay    *relayer.Relay
-	meter    *meter.Forward
+	links *linker.Linker
+	relay *relayer.Relay
+	meter *meter.Forward
+	// account divides the memory and the descriptors; guard applies it to the listeners by the decisions of conns.
+	account  limiter.Account
+	conns    *limiter.ConnTable
+	guard    *acceptor.Guard
 	draining chan struct{}
 	// suspensionDetector detects that the machine was suspended while no request arrived.
 	suspensionDetector timekeeper.SuspensionDetector
@@ -96,6 +99,8 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB) * (1 << 20)))
 	}
+	x.account, x.conns = newConnTable(cfg.MemoryMB, cfg.MaxFDs, cfg.CallerLimits)
+	x.guard = acceptor.NewGuard(x.conns)
 	x.self = carobbend.Instance{
 		Name: cfg.Instance, Incarnation: ulid.Make().String(), DataCentre: cfg.DataCentre,
 		CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers, Ready: true, Capacity: cfg.Cores,
@@ -112,7 +117,7 @@
 		Headers: headers, Router: &x.router, Upstreams: &x.upstreams, Balancer: x.balancer, Exchanger: x.exchanger,
 		RetryBudget: x.retryBudget, Hedger: hedger.New(), Instances: x.selector.InstanceCount,
 		OnResume: x.onResume, AwaitRouting: x.awaitRouting,
-		Memory: limiter.NewBytes(int64(requestMemoryFraction * float64(cfg.MemoryMB) * (1 << 20))),
+		Memory: x.account.Requests, Arriving: x.account.Arriving,
 	})
 	x.store = platform.NewStore(cfg.Store)
 	x.enroller = enroller.New(platform.NewEnrolment(x.store), x.self, cfg.Lease)
@@ -150,6 +155,8 @@
 		InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
 		Upstreams: func() int64 { return int64(x.upstreams.Size()) },
 		Members:   func() int64 { return int64(x.selector.InstanceCount()) },
+
+		CallerConnections: x.conns.Sizes, Closed: x.conns.Counts, Reserved: x.account.Used,
 		RoutingVersion: func() int64 {
 			if t := x.router.Table(); t != nil {
 				return int64(t.Version())
@@ -185,6 +192,7 @@
 func (x *forwardInstance) applyRouting(r *carobbend.Routing) bool {
 	ok := x.router.Apply(r)
 	if ok {
+		x.conns.SetLimits(r.Limits)
 		x.routingReadyOnce.Do(func() { close(x.routingReady) })
 	}
 	if ok && !x.isDraining() {
--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -16,19 +16,15 @@
 
 	"carobbend.example/carobbend/acceptor"
 	"carobbend.example/carobbend/forwarder"
+	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/platform"
 	"carobbend.example/carobbend/settings"
 )
 
 const (
-	// idleTimeout is longer than callers keep idle connections for reuse, so that no request is sent on a connection that the
-	// server is closing.
-	idleTimeout = time.Minute
-	// maxHeaderBytes bounds the headers of a request in bytes. The server's default of 1 MB for
-	// each connection could add up to more than the memory of an instance.
-	maxHeaderBytes = 256 << 10
-	// headerTimeout bounds the time for reading the headers of a request.
-	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the headers of a request in bytes whatever the routing says; the guard applies the routing's
+	// limit.
+	maxHeaderBytes = 1 << 20
 	// acceptFraction is the fraction of the grace period before the process is killed during which a draining instance
 	// accepts work; the rest is for finishing it. Callers that use its address for longer are refused as not run, or can't
 	// connect, and try another instance.
@@ -45,6 +41,7 @@
 
 // endpoint is a handler and the address that it is served on.
 type endpoint struct {
+	name        string
 	address     string
 	handler     http.Handler
 	connContext func(context.Context, net.Conn) context.Context
@@ -53,14 +50,14 @@
 // endpoints returns the endpoints of this instance, that of callers first.
 func (x *forwardInstance) endpoints() []endpoint {
 	all := []endpoint{
-		{x.cfg.Listen.Callers, x.forwarder, forwarder.ConnContext},
-		{x.cfg.Listen.Readiness, platform.ReadinessHandler(x.ready), nil},
-		{x.cfg.Listen.Addresses, platform.AddressHandler(&x.selector), nil},
+		{"callers", x.cfg.Listen.Callers, x.forwarder, forwarder.ConnContext},
+		{"readiness", x.cfg.Listen.Readiness, platform.ReadinessHandler(x.ready), nil},
+		{"addresses", x.cfg.Listen.Addresses, platform.AddressHandler(&x.selector), nil},
 	}
 	if a := x.cfg.Listen.Metrics; a != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", x.meter.Handler())
-		all = append(all, endpoint{a, mux, nil})
+		all = append(all, endpoint{"metrics", a, mux, nil})
 	}
 	return all
 }
@@ -71,15 +68,18 @@
 	defer cancel()
 	var g oklogrun.Group
 	for _, s := range x.endpoints() {
-		srv := &http.Server{
-			Handler: s.handler, ConnContext: s.connContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardServerLog(),
-		}
+		srv := x.guard.Server(&http.Server{
+			Handler: s.handler, ConnContext: s.connContext, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardServerLog(),
+		})
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", s.address)
 		if err != nil {
 			return err
 		}
-		a := acceptor.New(l, srv)
+		n := x.account.OtherConnections
+		if s.name == "callers" {
+			n = x.account.Connections
+		}
+		a := acceptor.New(x.guard.Listener(l, x.conns.Group(s.name, n), limiter.PhaseIdle), srv)
 		g.Add(a.Serve, func(error) { a.Close(closeTimeout) })
 	}
 	if x.links != nil {
@@ -87,12 +87,14 @@
 		if err != nil {
 			return err
 		}
+		l = x.guard.Listener(l, x.conns.Group("peers", x.account.OtherConnections), limiter.PhaseLink)
 		g.Add(func() error { return x.links.Serve(l) }, func(error) {
 			if err := l.Close(); err != nil {
 				x.log.Error(err, "closing the peer listener failed")
 			}
 		})
 	}
+	g.Add(func() error { return x.guard.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.follower.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.enroller.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return x.monitorLoad(ctx) }, func(error) { cancel() })
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// bodyTimeout bounds the time for reading a caller's body.
-	bodyTimeout = 10 * time.Second
 	// requestBytes and shardBytes are the memory in bytes that is reserved for a request and for each of its shards:
 	// goroutines, buffers, heads, and the parts of bodies that are kept in memory.
 	requestBytes = 64 << 10
@@ -26,8 +24,11 @@
 
 var errNoMemory = errors.New("the requests in flight hold all memory")
 
-// readBody reads the whole body, so that attempts can be repeated and a disconnect of the caller is noticed.
-func readBody(w http.ResponseWriter, r *http.Request, limit int, reservation *limiter.Reservation) ([]byte, *refusal) {
+// readBody reads the whole body until the deadline, so that attempts can be repeated and a disconnect of the caller is
+// noticed. The memory is also reserved from arriving, until the body is complete.
+func readBody(
+	w http.ResponseWriter, r *http.Request, limit int, deadline time.Time, arriving *limiter.Bytes, reservation *limiter.Reservation,
+) ([]byte, *refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -39,12 +40,14 @@
 		return nil, tooLong
 	}
 	// Not every kind of connection supports a deadline; the server's own then applies.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, int64(limit))
 	}
-	b, err := readReserved(body, r.ContentLength, reservation)
+	part, _ := arriving.Reserve(0)
+	defer part.Release()
+	b, err := readReserved(body, r.ContentLength, reservations{reservation, part})
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var long *http.MaxBytesError
 	switch {
@@ -62,9 +65,9 @@
 }
 
 // readReserved reads a body of n bytes, or of unknown length if n is -1, and reserves the memory before it reads.
-func readReserved(r io.Reader, n int64, reservation *limiter.Reservation) ([]byte, error) {
+func readReserved(r io.Reader, n int64, memory reservations) ([]byte, error) {
 	if n >= 0 {
-		if !reservation.Grow(n) {
+		if !memory.grow(n) {
 			return nil, errNoMemory
 		}
 		b := make([]byte, n)
@@ -73,7 +76,7 @@
 	}
 	var b []byte
 	for {
-		if !reservation.Grow(growthFactor * bodyChunk) {
+		if !memory.grow(growthFactor * bodyChunk) {
 			return nil, errNoMemory
 		}
 		chunk, err := io.ReadAll(io.LimitReader(r, bodyChunk))
@@ -84,6 +87,18 @@
 	}
 }
 
+// reservations are grown together; what an incomplete growth reserved is released with the rest.
+type reservations []*limiter.Reservation
+
+func (rs reservations) grow(n int64) bool {
+	for _, r := range rs {
+		if !r.Grow(n) {
+			return false
+		}
+	}
+	return true
+}
+
 // noMemory returns the refusal of a request whose memory can't be reserved beside those in flight.
 func noMemory() *refusal {
 	return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, errNoMemory.Error(), retryAfter}
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -50,6 +50,9 @@
 
 // roundTrip returns the kernel's estimate of the round-trip time of a TCP connection, or 0.
 func roundTrip(c net.Conn) time.Duration {
+	if w, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = w.NetConn()
+	}
 	tc, ok := c.(*net.TCPConn)
 	if !ok {
 		return 0
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -100,6 +100,8 @@
 	Hedger carobbend.Hedger
 	// Memory bounds the memory that the requests in flight hold; nil means no bound.
 	Memory *limiter.Bytes
+	// Arriving bounds the part of Memory that is held for bodies which are still arriving; nil means no bound.
+	Arriving *limiter.Bytes
 	// AwaitRouting is called for a request that arrives before a routing is known; it returns once one is, or when the
 	// request is to be refused. It may be nil.
 	AwaitRouting func(context.Context)
@@ -145,6 +147,9 @@
 	if f.Memory == nil {
 		f.Memory = &limiter.Bytes{}
 	}
+	if f.Arriving == nil {
+		f.Arriving = &limiter.Bytes{}
+	}
 	return f
 }
 
@@ -232,7 +237,7 @@
 		return noMemory()
 	}
 	q.reservation = reservation
-	body, refused := readBody(w, r, t.Limits().BodyBytes, reservation)
+	body, refused := readBody(w, r, t.Limits().BodyBytes, q.deadline, f.Arriving, reservation)
 	if refused != nil {
 		return refused
 	}
--- a/limiter/bytes.go
+++ b/limiter/bytes.go
@@ -21,6 +21,21 @@
 	return r, r.Grow(n)
 }
 
+// take reserves n bytes, or none if fewer are left; n may be negative.
+func (b *Bytes) take(n int64) bool {
+	if used := b.used.Add(n); n > 0 && b.limit > 0 && used > b.limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// release returns n bytes.
+func (b *Bytes) release(n int64) { b.used.Add(-n) }
+
+// Limit returns the bound in bytes, or 0.
+func (b *Bytes) Limit() int64 { return b.limit }
+
 // Reservation is the part of a Bytes that one request holds. It isn't safe for concurrent use.
 type Reservation struct {
 	bytes *Bytes
@@ -29,8 +44,7 @@
 
 // Grow adds n bytes to the reservation, or returns false and adds none.
 func (r *Reservation) Grow(n int64) bool {
-	if used := r.bytes.used.Add(n); r.bytes.limit > 0 && used > r.bytes.limit {
-		r.bytes.used.Add(-n)
+	if !r.bytes.take(n) {
 		return false
 	}
 	r.n += n
@@ -39,6 +53,6 @@
 
 // Release returns all bytes; further calls do nothing.
 func (r *Reservation) Release() {
-	r.bytes.used.Add(-r.n)
+	r.bytes.release(r.n)
 	r.n = 0
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -249,6 +249,26 @@
 	b.setErr(err)
 }
 
+// observableBy registers a counter or gauge with one attribute, whose values are the keys that f returns.
+func (b *builder) observableBy(name, help, key string, counter bool, f func() map[string]int64) {
+	if f == nil {
+		return
+	}
+	observe := metric.Int64Callback(func(_ context.Context, o metric.Int64Observer) error {
+		for k, n := range f() {
+			o.Observe(n, metric.WithAttributes(attribute.String(key, k)))
+		}
+		return nil
+	})
+	var err error
+	if counter {
+		_, err = b.meter.Int64ObservableCounter(name, metric.WithDescription(help), metric.WithInt64Callback(observe))
+	} else {
+		_, err = b.meter.Int64ObservableGauge(name, metric.WithDescription(help), metric.WithInt64Callback(observe))
+	}
+	b.setErr(err)
+}
+
 func (b *builder) observeShardRequests(f func() ExtraLoad) {
 	kind := func(s string) metric.ObserveOption {
 		return metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", s)))
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -24,10 +24,32 @@
 	Cores float64 `yaml:"cores" validate:"gte=0"`
 	// MemoryMB is the memory available to the process, in MB; 0 keeps the default of the Go runtime.
 	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
+	// MaxFDs is the number of descriptors available to the process; 0 means its limit at the start.
+	MaxFDs int `yaml:"max-fds" validate:"gte=0"`
+	// CallerLimits bound what callers can make the process hold.
+	CallerLimits CallerLimits `yaml:"caller-limits"`
 	// ExtraLoad bounds hedges and retries.
 	ExtraLoad ForwardExtraLoad `yaml:"extra-load"`
 }
 
+// CallerLimits bound what callers can make a process hold, beside the limits of the routing.
+type CallerLimits struct {
+	// Connections is the greatest number of callers' connections, OtherConnections that of each other listener; 0 derives
+	// them from memory and descriptors.
+	Connections      int `yaml:"connections" validate:"gte=0"`
+	OtherConnections int `yaml:"other-connections" validate:"gte=0"`
+	// WriteTimeout is how long a caller may read no byte of an answer.
+	WriteTimeout time.Duration `yaml:"write-timeout" validate:"gte=1000000000"`
+	// BodyTimeout bounds the time for which a body arrives, beside the request's deadline.
+	BodyTimeout time.Duration `yaml:"body-timeout" validate:"gte=1000000000"`
+}
+
+// ApplyDefaults sets the limits that were left out.
+func (l *CallerLimits) ApplyDefaults() {
+	orDefault(&l.WriteTimeout, defaultWriteTimeout)
+	orDefault(&l.BodyTimeout, defaultBodyTimeout)
+}
+
 // ForwardListen holds IP addresses with ports.
 type ForwardListen struct {
 	Callers   string `yaml:"callers" validate:"required,ip_port"`
@@ -55,10 +77,15 @@
 	defaultLease       = 2500 * time.Millisecond
 	defaultStopGrace   = 6 * time.Second
 	defaultExtraWindow = 10 * time.Second
+	// defaultWriteTimeout is longer than a caller that reads its answers lets one wait, also over a link that loses bytes.
+	defaultWriteTimeout = 10 * time.Second
+	// defaultBodyTimeout is longer than any request's deadline.
+	defaultBodyTimeout = 40 * time.Second
 )
 
 // ApplyDefaults sets the fields that the file leaves out.
 func (s *Forward) ApplyDefaults() {
+	s.CallerLimits.ApplyDefaults()
 	if s.Lease == 0 {
 		s.Lease = defaultLease
 	}
--- a/settings/forward_test.go
+++ b/settings/forward_test.go
@@ -39,6 +39,9 @@
 		{"peers without a port", "  addresses: 127.0.0.1:7102", "  addresses: 127.0.0.1:7102\n  peers: 127.0.0.1", "listen.peers", 7},
 		{"out of range", "ratio: 0.2", "ratio: 2", "extra-load.ratio", 10},
 		{"short window", "  slack: 52", "  slack: 52\n  window: 5ns", "extra-load.window", 12},
+		{"negative descriptors", "cores: 0.4", "max-fds: -1", "max-fds", 8},
+		{"negative connections", "cores: 0.4", "caller-limits: {connections: -1}", "caller-limits.connections", 8},
+		{"short write time-out", "cores: 0.4", "caller-limits: {write-timeout: 5ms}", "caller-limits.write-timeout", 8},
 		{"negative", "cores: 0.4", "cores: -1", "cores", 8},
 	} {
 		t.Run(c.name, func(t *testing.T) {
