serve: bound what callers can make an instance hold, as forward does

serve read queries of 64 KiB and operations of 1 MiB without a bound on their sum, and its listeners shared the process's descriptors. It gets the settings memory-mb, max-fds and caller-limits, the guard on its three listeners, and reservations for requests (64 KiB, and four times the length of the body while it is decoded). Only heads that hold reserved memory are closed under pressure of heads; small ones were, too.

--- a/acceptor/guard.go
+++ b/acceptor/guard.go
@@ -119,10 +119,9 @@
 	return &guardedListener{Listener: l, guard: g, group: group, phase: phase, closed: make(chan struct{})}
 }
 
-// Server makes srv report the phases of its connections, which must come from Listener, and returns it. The time limits of
-// srv that the guard applies are removed.
+// Server makes srv report the phases of its connections, which must come from Listener, and returns it. srv needs no time
+// limits of its own for heads and idle connections.
 func (g *Guard) Server(srv *http.Server) *http.Server {
-	srv.ReadHeaderTimeout, srv.IdleTimeout, srv.ReadTimeout = 0, 0, 0
 	srv.Handler = guardedHandler{srv.Handler}
 	state, connContext := srv.ConnState, srv.ConnContext
 	srv.ConnState = func(c net.Conn, s http.ConnState) {
--- a/cmd/carobbend/callerlimits.go
+++ b/cmd/carobbend/callerlimits.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"runtime/debug"
+
 	"golang.org/x/sys/unix"
 
 	"carobbend.example/carobbend/limiter"
@@ -8,6 +10,17 @@
 	"carobbend.example/carobbend/settings"
 )
 
+// memoryLimitFraction is the fraction of the memory that is set as the runtime's soft memory limit, near which it collects
+// garbage more often.
+const memoryLimitFraction = 0.6
+
+// setMemoryLimit sets the runtime's soft memory limit; 0 keeps the runtime's default.
+func setMemoryLimit(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memoryMB) * (1 << 20)))
+	}
+}
+
 // newConnTable returns the account of a process and the table of its connections.
 func newConnTable(memoryMB, fds int, l settings.CallerLimits) (limiter.Account, *limiter.ConnTable) {
 	a := limiter.NewAccount(int64(memoryMB)<<20, maxFDs(fds))
--- a/cmd/carobbend/crowdlegal_test.go
+++ b/cmd/carobbend/crowdlegal_test.go
@@ -38,7 +38,7 @@
 	}{
 		{"body in one piece", []string{crowdHead("POST", "/o/1") + withLength + body}, 1 << 20, 0, []string{"262144"}},
 		{"body in pieces", []string{crowdHead("POST", "/o/1") + withLength + body}, 2 << 10, 5 * time.Millisecond, []string{"262144"}},
-		{"body in chunks", []string{crowdHead("POST", "/o/1") + chunked + string(chunks(crowdBodyBytes)) + "0\r\n\r\n"}, 1 << 20, 0, []string{"262144"}},
+		{"body in chunks", []string{crowdHead("POST", "/o/1") + chunked + string(chunks([]byte(body))) + "0\r\n\r\n"}, 1 << 20, 0, []string{"262144"}},
 		{"body of line ends", []string{crowdHead("POST", "/o/1") + withLength + strings.Repeat("\n", crowdBodyBytes)}, 1 << 20, 0, []string{"262144"}},
 		{"long head", []string{longHead}, 1 << 20, 0, []string{"0"}},
 		{"long head in pieces", []string{longHead}, 1000, 10 * time.Millisecond, []string{"0"}},
--- a/cmd/carobbend/crowdstand_test.go
+++ b/cmd/carobbend/crowdstand_test.go
@@ -41,16 +41,33 @@
 	// maxFDs is the greatest number of open descriptors that was seen.
 	maxFDs atomic.Int64
 	client *http.Client
+	// ordinary are the requests that must be answered.
+	ordinary []ordinaryRequest
 }
 
-func startCrowdStand(t *testing.T) *crowdStand {
+// ordinaryRequest is a request inside the limits, and the text that its answer contains.
+type ordinaryRequest struct {
+	listener, method, path, body, want string
+}
+
+func newCrowdStand(t *testing.T, ordinary []ordinaryRequest) *crowdStand {
 	t.Helper()
 	if _, err := os.Stat("/proc/self/status"); err != nil {
 		t.Skip("no /proc, from which the memory of a process is read")
 	}
-	s := &crowdStand{t: t, addresses: map[string]string{}, client: &http.Client{
+	return &crowdStand{t: t, ordinary: ordinary, addresses: map[string]string{}, client: &http.Client{
 		Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true},
 	}}
+}
+
+func startCrowdStand(t *testing.T) *crowdStand {
+	t.Helper()
+	s := newCrowdStand(t, []ordinaryRequest{
+		{"readiness", http.MethodGet, "/ready", "", ""},
+		{"addresses", http.MethodGet, "/resolve", "", "addrs"},
+		{"metrics", http.MethodGet, "/metrics", "", "carobbend_ready"},
+		{"callers", http.MethodPost, "/o/1", strings.Repeat("b", 64), "64"},
+	})
 	upstream := httptest.NewServer(http.HandlerFunc(serveCrowdUpstream))
 	store := httptest.NewServer(crowdStore(upstream.Listener.Addr().String()))
 	for _, name := range []string{"callers", "readiness", "addresses", "metrics", "peers"} {
@@ -174,34 +191,30 @@
 	}
 }
 
-// mustServe sends ordinary requests, each until it is answered: to a route, to readiness, addresses and metrics.
+// mustServe sends ordinary requests to the listeners, each until it is answered.
 func (s *crowdStand) mustServe(when string) {
 	s.t.Helper()
-	for _, x := range []struct{ name, method, path, body string }{
-		{"readiness", http.MethodGet, "/ready", ""},
-		{"addresses", http.MethodGet, "/resolve", ""},
-		{"metrics", http.MethodGet, "/metrics", ""},
-		{"callers", http.MethodPost, "/o/1", strings.Repeat("b", 64)},
-	} {
-		eventually(s.t, x.name+" answers "+when, func() bool {
+	for _, x := range s.ordinary {
+		eventually(s.t, x.listener+" answers "+x.path+" "+when, func() bool {
 			select {
 			case <-s.instance.done:
 				s.t.Fatalf("the process ended %s", when)
 			default:
 			}
-			r, err := http.NewRequest(x.method, "http://"+s.addresses[x.name]+x.path, strings.NewReader(x.body))
+			r, err := http.NewRequest(x.method, "http://"+s.addresses[x.listener]+x.path, strings.NewReader(x.body))
 			if err != nil {
 				s.t.Fatal(err)
 			}
 			r.Host = "h"
 			r.Header.Set("X-Request-Id", "ordinary")
+			r.Header.Set("Authorization", "Bearer tester-secret")
 			resp, err := s.client.Do(r)
 			if err != nil {
 				return false
 			}
 			b, err := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
-			return err == nil && resp.StatusCode == http.StatusOK && (x.name != "callers" || string(b) == "64")
+			return err == nil && resp.StatusCode == http.StatusOK && strings.Contains(string(b), x.want)
 		})
 	}
 }
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,9 +38,6 @@
 	// otherDataCentreFactor multiplies the score of upstreams in other data centres, since traffic between data
 	// centres costs money.
 	otherDataCentreFactor = 2.5
-	// memoryLimitFraction is the fraction of the memory that is set as the runtime's soft memory limit, near which it
-	// collects garbage more often.
-	memoryLimitFraction = 0.6
 	// routingWaitTimeout bounds the time that a request waits for the first routing configuration; reading it takes some
 	// 30 ms. routingWaitWindow is the time after activation during which requests wait.
 	routingWaitTimeout = 100 * time.Millisecond
@@ -96,9 +92,7 @@
 
 func newForwardInstance(file string, cfg *settings.Forward) *forwardInstance {
 	x := &forwardInstance{file: file, cfg: cfg, log: logger.New("instance"), draining: make(chan struct{}), routingReady: make(chan struct{})}
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB) * (1 << 20)))
-	}
+	setMemoryLimit(cfg.MemoryMB)
 	x.account, x.conns = newConnTable(cfg.MemoryMB, cfg.MaxFDs, cfg.CallerLimits)
 	x.guard = acceptor.NewGuard(x.conns)
 	x.self = carobbend.Instance{
@@ -155,8 +149,7 @@
 		InFlight: x.forwarder.InFlight, DroppedLines: lines.Dropped, Ready: x.ready,
 		Upstreams: func() int64 { return int64(x.upstreams.Size()) },
 		Members:   func() int64 { return int64(x.selector.InstanceCount()) },
-
-		CallerConnections: x.conns.Sizes, Closed: x.conns.Counts, Reserved: x.account.Used,
+		Limits:    meter.LimitSources{Connections: x.conns.Sizes, Closed: x.conns.Counts, Reserved: x.account.Used},
 		RoutingVersion: func() int64 {
 			if t := x.router.Table(); t != nil {
 				return int64(t.Version())
--- a/cmd/carobbend/harness_test.go
+++ b/cmd/carobbend/harness_test.go
@@ -160,6 +160,19 @@
 `
 
 func startTier(t *testing.T, instances ...string) *tier {
+	t.Helper()
+	f := startTierWithout(t)
+	for _, name := range instances {
+		f.startInstance(name)
+	}
+	for _, name := range instances {
+		f.awaitReady(name, len(instances))
+	}
+	return f
+}
+
+// startTierWithout starts the emulated platform and upstreams, but no instance.
+func startTierWithout(t *testing.T) *tier {
 	t.Helper()
 	f := &tier{
 		t: t, dir: t.TempDir(), control: map[string]string{}, upstreams: map[string][]emulator.MemberState{},
@@ -177,12 +190,6 @@
 		f.control[name], f.upstreams[name] = ready.Address, ready.Upstreams
 	}
 	f.applyRules(testRules)
-	for _, name := range instances {
-		f.startInstance(name)
-	}
-	for _, name := range instances {
-		f.awaitReady(name, len(instances))
-	}
 	return f
 }
 
--- a/cmd/carobbend/instance.go
+++ b/cmd/carobbend/instance.go
@@ -13,10 +13,12 @@
 	"github.com/oklog/ulid/v2"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/acceptor"
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/claimer"
 	"carobbend.example/carobbend/dispatcher"
 	"carobbend.example/carobbend/distributor"
+	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/linker"
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/meter"
@@ -53,10 +55,14 @@
 
 // instance is one entry instance with its components.
 type instance struct {
-	cfg         *settings.Settings
-	callers     net.Listener
-	admin       net.Listener
-	peers       net.Listener
+	cfg     *settings.Settings
+	callers net.Listener
+	admin   net.Listener
+	peers   net.Listener
+	// account divides the memory and the descriptors; guard applies it to the listeners by the decisions of conns.
+	account     limiter.Account
+	conns       *limiter.ConnTable
+	guard       *acceptor.Guard
 	incarnation string
 	started     time.Time
 	warm        atomic.Bool
@@ -82,6 +88,9 @@
 // newInstance opens the listeners and creates the components; run starts them.
 func newInstance(ctx context.Context, cfg *settings.Settings) (*instance, error) {
 	x := &instance{cfg: cfg, incarnation: ulid.Make().String(), started: time.Now(), log: logger.New("instance")}
+	x.account, x.conns = newConnTable(cfg.MemoryMB, cfg.MaxFDs, cfg.CallerLimits)
+	x.conns.SetLimits(server.Limits())
+	x.guard = acceptor.NewGuard(x.conns)
 	if err := x.listen(ctx); err != nil {
 		return nil, errors.Join(err, x.closeListeners())
 	}
@@ -96,12 +105,18 @@
 	for _, l := range []struct {
 		ln      *net.Listener
 		address string
-	}{{&x.callers, x.cfg.Listen.Callers}, {&x.admin, x.cfg.Listen.Admin}, {&x.peers, x.cfg.Listen.Peers}} {
+		group   *limiter.Group
+		phase   limiter.Phase
+	}{
+		{&x.callers, x.cfg.Listen.Callers, x.conns.Group("callers", x.account.Connections), limiter.PhaseIdle},
+		{&x.admin, x.cfg.Listen.Admin, x.conns.Group("admin", x.account.OtherConnections), limiter.PhaseIdle},
+		{&x.peers, x.cfg.Listen.Peers, x.conns.Group("peers", x.account.OtherConnections), limiter.PhaseLink},
+	} {
 		ln, err := lc.Listen(ctx, "tcp", l.address)
 		if err != nil {
 			return err
 		}
-		*l.ln = ln
+		*l.ln = x.guard.Listener(ln, l.group, l.phase)
 	}
 	return nil
 }
@@ -160,8 +175,8 @@
 func (x *instance) serverConfig() server.Config {
 	cfg := x.cfg
 	c := server.Config{
-		RequestTimeout: x.cfg.Listen.RequestTimeout,
-		AdminToken:     cfg.Admin.Token, Queries: x.data.executor, Operations: x.dispatcher, Rules: x.rules, Members: x.links,
+		RequestTimeout: x.cfg.Listen.RequestTimeout, Guard: x.guard, Memory: x.account.Requests, Arriving: x.account.Arriving,
+		AdminToken: cfg.Admin.Token, Queries: x.data.executor, Operations: x.dispatcher, Rules: x.rules, Members: x.links,
 		Gate: x.data.gate, Recorder: x.meter, Shards: x.data.shardCount, Metrics: x.meter.Handler(),
 		InForce: x.rules.Ready, Ready: x.eligible, Announce: x.announce, Status: x.status, Traces: x.data.traces,
 		Drain: server.DrainTimes{
@@ -196,6 +211,7 @@
 		Connections:  func() int64 { return x.data.connector.Counters().Open },
 		Members:      func() int64 { return int64(len(x.links.Live())) },
 		Ready:        func() bool { return x.server.Ready() },
+		Limits:       meter.LimitSources{Connections: x.conns.Sizes, Closed: x.conns.Counts, Reserved: x.account.Used},
 	}
 }
 
@@ -309,7 +325,7 @@
 	var g oklogrun.Group
 	g.Add(x.serve, func(error) { _ = x.server.Close() })
 	for _, runComponent := range []func(context.Context) error{
-		x.links.Run, x.registration.run, x.rules.Run, x.data.connector.Run, x.leavingUpstreams.run,
+		x.guard.Run, x.links.Run, x.registration.run, x.rules.Run, x.data.connector.Run, x.leavingUpstreams.run,
 	} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return runComponent(ctx) }, func(error) { cancel() })
--- a/cmd/carobbend/serve.go
+++ b/cmd/carobbend/serve.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	setMemoryLimit(cfg.MemoryMB)
 	// Further signals during the shutdown are ignored, so that they don't cut off requests.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/limiter/conntable.go
+++ b/limiter/conntable.go
@@ -353,7 +353,9 @@
 			}
 			switch Phase(c.phase.Load()) {
 			case PhaseHead:
-				heads = append(heads, Closing{c, CloseHeads})
+				if c.holdsHead() {
+					heads = append(heads, Closing{c, CloseHeads})
+				}
 			case PhaseBody:
 				bodies = append(bodies, Closing{c, CloseBodies})
 			default:
@@ -369,6 +371,13 @@
 	return due, busy
 }
 
+// holdsHead reports whether memory is reserved for the head, beyond what the connection includes.
+func (c *Conn) holdsHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held > 0
+}
+
 // isStuck reports whether the connection waits for bytes of its caller, or for the caller to read.
 func (c *Conn) isStuck() bool {
 	switch Phase(c.phase.Load()) {
--- a/limiter/conntable_test.go
+++ b/limiter/conntable_test.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// TestHeadsUnderPressure guards against large heads that don't end and hold the memory of all, and against closing small heads
+// for them.
+func TestHeadsUnderPressure(t *testing.T) {
+	x := newTableTest(t)
+	large, small := x.open(PhaseIdle), x.open(PhaseIdle)
+	large.Received(16<<10, 5000)
+	small.Received(10, 0)
+	x.Advance(time.Second)
+	if got, _ := x.Due(); len(got) != 1 || got[0] != (Closing{large, CloseHeads}) {
+		t.Errorf("got %v, want the large one alone", got)
+	}
+}
+
 // TestPlaces guards against a crowd that takes all places: connections without progress give way to others, before idle ones
 // whose callers had an answer; a caller that waits for its answer keeps its place.
 func TestPlaces(t *testing.T) {
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -27,10 +27,8 @@
 	Members        func() int64
 	DroppedLines   func() int64
 	Ready          func() bool
-	// CallerConnections is by listener, Closed by reason, and Reserved, in bytes, by part of the account.
-	CallerConnections func() map[string]int64
-	Closed            func() map[string]int64
-	Reserved          func() map[string]int64
+	// Limits are the connections and the memory of callers.
+	Limits LimitSources
 }
 
 // Forward records the events of a forwarding instance. It implements forwarder.Recorder and is safe for concurrent
@@ -65,9 +63,7 @@
 	b.observableGauge("carobbend_members", "Instances in the list, this one included.", src.Members)
 	b.observableCounter("carobbend_store_calls", "Calls to the store; a watch is one call.", src.StoreCalls)
 	b.observableCounter("carobbend_log_lines_dropped", "Log lines dropped since the output was too slow.", src.DroppedLines)
-	b.observableBy("carobbend_caller_connections", "Open connections, by listener.", "listener", false, src.CallerConnections)
-	b.observableBy("carobbend_caller_connections_closed", "Connections closed by this instance, by reason.", "reason", true, src.Closed)
-	b.observableBy("carobbend_memory_reserved_bytes", "Memory reserved for callers, by part.", "part", false, src.Reserved)
+	b.observeLimits(src.Limits)
 	b.observableFlag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
 	b.observeBreaches()
 	if b.err != nil {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -49,6 +49,21 @@
 	Connections  func() int64
 	Members      func() int64
 	Ready        func() bool
+	// Limits are the connections and the memory of callers.
+	Limits LimitSources
+}
+
+// LimitSources are read for the metrics of callers' connections and memory.
+type LimitSources struct {
+	// Connections is by listener, Closed by reason, and Reserved, in bytes, by part of the account.
+	Connections, Closed, Reserved func() map[string]int64
+}
+
+// observeLimits registers the metrics of callers' connections and memory.
+func (b *builder) observeLimits(src LimitSources) {
+	b.observableBy("carobbend_caller_connections", "Open connections, by listener.", "listener", false, src.Connections)
+	b.observableBy("carobbend_caller_connections_closed", "Connections closed by this instance, by reason.", "reason", true, src.Closed)
+	b.observableBy("carobbend_memory_reserved_bytes", "Memory reserved for callers, by part.", "part", false, src.Reserved)
 }
 
 // Meter records the events of an instance. It is safe for concurrent use.
@@ -114,7 +129,7 @@
 
 // Handler serves the metrics in the Prometheus format.
 func (m *Meter) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
 // Close stops the collection.
@@ -212,6 +227,7 @@
 	b.observableGauge("carobbend_members", "Live instances in the membership view.", src.Members)
 	b.observableFlag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
 	b.observableCounter("carobbend_store_calls", "Calls to the store; a watch is one call.", src.StoreCalls)
+	b.observeLimits(src.Limits)
 	if src.ExtraLoad != nil {
 		b.observeShardRequests(src.ExtraLoad)
 	}
--- a/server/callers.go
+++ b/server/callers.go
@@ -18,6 +18,7 @@
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/asserter"
+	"carobbend.example/carobbend/limiter"
 )
 
 const (
@@ -32,11 +33,21 @@
 	maxDeadline = time.Minute
 
 	identityKey = "identity"
+
+	// requestBytes is the memory in bytes that is reserved for a request beside its body: goroutines, buffers, shard requests.
+	requestBytes = 64 << 10
+	// decodeFactor is the memory of a body while it is decoded, as a multiple of its length: the buffer of the decoder, which
+	// doubles, and the decoded value.
+	decodeFactor = 4
+	// retryAfter is the Retry-After, in seconds, of requests that don't fit into the memory.
+	retryAfter = "0.100"
 )
 
+var errNoMemory = errors.New("the requests in flight hold all memory")
+
 func (s *Server) callerRoutes() http.Handler {
 	e := newEcho()
-	e.Use(s.countInFlight, s.closeWhenRefusing, s.echoRequestID, s.authenticate)
+	e.Use(s.countInFlight, s.closeWhenRefusing, s.echoRequestID, s.authenticate, s.reserve)
 	e.POST(carobbend.PathQuery, s.postQuery)
 	e.POST(carobbend.PathOperations, s.postOperation)
 	e.GET(carobbend.PathOperations+"/:key", s.getOperation)
@@ -90,6 +101,46 @@
 	}
 }
 
+// reserve reserves memory for a request, and bodies grow the reservation while they are decoded.
+func (s *Server) reserve(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r, ok := s.cfg.Memory.Reserve(requestBytes)
+		if !ok {
+			return noMemory(c)
+		}
+		defer r.Release()
+		part, _ := s.cfg.Arriving.Reserve(0)
+		defer part.Release()
+		req := c.Request()
+		req.Body = reservedBody{req.Body, r, part}
+		return next(c)
+	}
+}
+
+// reservedBody fails with errNoMemory where what was read and decoded can't be reserved.
+type reservedBody struct {
+	io.ReadCloser
+	memory, arriving *limiter.Reservation
+}
+
+// Read implements io.Reader.
+func (b reservedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if held := decodeFactor * int64(n); !b.memory.Grow(held) || !b.arriving.Grow(held) {
+		return 0, errNoMemory
+	}
+	if err != nil {
+		b.arriving.Release()
+	}
+	return n, err
+}
+
+// noMemory refuses a request that doesn't fit beside those in flight and didn't run.
+func noMemory(c echo.Context) error {
+	c.Response().Header().Set("Retry-After", retryAfter)
+	return echo.NewHTTPError(http.StatusServiceUnavailable, errNoMemory.Error())
+}
+
 func identityOf(c echo.Context) Identity {
 	id, ok := c.Get(identityKey).(Identity)
 	asserter.Check(ok, asserter.Identity, "path", c.Path())
@@ -131,6 +182,9 @@
 	if errors.As(err, &tooLarge) {
 		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, fmt.Sprintf("body: expected at most %d bytes", limit))
 	}
+	if errors.Is(err, errNoMemory) {
+		return noMemory(c)
+	}
 	var ne net.Error
 	switch {
 	case errors.As(err, &ne):
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/acceptor"
+	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/logger"
 	"carobbend.example/carobbend/replayer"
 )
@@ -81,6 +82,16 @@
 	Drain  DrainTimes
 	// RequestTimeout bounds the time for reading a request with its body; 0 means 30 s.
 	RequestTimeout time.Duration
+	// Guard bounds the connections of both listeners, whose connections must come from it; nil means no bound.
+	Guard *acceptor.Guard
+	// Memory bounds the memory that callers' requests hold, Arriving the part of it that is held for bodies which are still
+	// arriving; nil means no bound.
+	Memory, Arriving *limiter.Bytes
+}
+
+// Limits are what a Guard applies to the connections of a server, which has no routing.
+func Limits() carobbend.CallerLimits {
+	return carobbend.CallerLimits{HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
 // Server serves callers and administrators until it is drained.
@@ -128,6 +139,16 @@
 	}
 	s.callerHTTP.ConnState = s.conns.connState
 	s.adminHTTP = newHTTP(s.adminRoutes())
+	if s.cfg.Memory == nil {
+		s.cfg.Memory = &limiter.Bytes{}
+	}
+	if s.cfg.Arriving == nil {
+		s.cfg.Arriving = &limiter.Bytes{}
+	}
+	if s.cfg.Guard != nil {
+		s.cfg.Guard.Server(s.callerHTTP)
+		s.cfg.Guard.Server(s.adminHTTP)
+	}
 	return s, nil
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,6 +43,12 @@
 	Queue Queue `yaml:"queue"`
 	// Drain configures the graceful shutdown.
 	Drain Drain `yaml:"drain"`
+	// MemoryMB is the memory available to the process, in MB; 0 means no bound.
+	MemoryMB int `yaml:"memory-mb" validate:"gte=0"`
+	// MaxFDs is the number of descriptors available to the process; 0 means its limit at the start.
+	MaxFDs int `yaml:"max-fds" validate:"gte=0"`
+	// CallerLimits bound what callers can make the process hold.
+	CallerLimits CallerLimits `yaml:"caller-limits"`
 }
 
 // Listen holds IP addresses with ports; port 0 picks a free port.
@@ -189,4 +195,5 @@
 	orDefault(&s.Queue.Concurrency, DefaultQueueConcurrency)
 	orDefault(&s.Drain.AddressValidity, DefaultAddressValidity)
 	orDefault(&s.Drain.Limit, DefaultDrainLimit)
+	s.CallerLimits.ApplyDefaults()
 }
