Count requests whose short body arrives as arriving, and pick test addresses apart

A request with a short body that never ends held 64 KiB of the memory for requests until its deadline, but almost nothing of the part for arriving bodies, so that neither its bound nor the closing of slow bodies applied. The part now counts the whole request while its body arrives, in forward and in serve. TestCrowds and TestServeCrowds get the kind "short body without its last byte", TestArrivingBodies and TestRequestsWithoutMemory show the reservations.

In one of three runs of TestCrowds a connection of another process had taken a port between its choice and the start of the instance (bind: address already in use). The instances of the test now listen on a loopback address of their own.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -8,6 +8,12 @@
 //	a := acceptor.New(listener, &http.Server{Handler: h})
 //	go a.Serve()
 //	a.Close(200 * time.Millisecond)
+//
+// A Guard bounds what the callers of one or more listeners can make the process hold:
+//
+//	g := acceptor.NewGuard(table)
+//	go g.Run(ctx)
+//	a := acceptor.New(g.Listener(listener, callers, limiter.PhaseIdle), g.Server(&http.Server{Handler: h}))
 package acceptor
 
 import (
--- a/cmd/carobbend/crowd_test.go
+++ b/cmd/carobbend/crowd_test.go
@@ -107,6 +107,10 @@
 			write(c, p.head("POST", p.path)+chunkedHead)
 			_, _ = c.Write(chunked)
 		}},
+		{"short body without its last byte", 400, true, func(c net.Conn) {
+			write(c, p.head("POST", p.path)+lengthOf(200))
+			_, _ = c.Write(body[:199])
+		}},
 		{"body far over the limit", 100, true, func(c net.Conn) {
 			write(c, p.head("POST", p.path)+lengthOf(1<<30))
 			_, _ = c.Write(long)
--- a/cmd/carobbend/crowdstand_test.go
+++ b/cmd/carobbend/crowdstand_test.go
@@ -70,16 +70,7 @@
 	})
 	upstream := httptest.NewServer(http.HandlerFunc(serveCrowdUpstream))
 	store := httptest.NewServer(crowdStore(upstream.Listener.Addr().String()))
-	for _, name := range []string{"callers", "readiness", "addresses", "metrics", "peers"} {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.addresses[name] = l.Addr().String()
-		if err := l.Close(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	s.pickAddresses("callers", "readiness", "addresses", "metrics", "peers")
 	file := filepath.Join(t.TempDir(), "forward.yaml")
 	text := fmt.Sprintf(`instance: edge-1
 data-centre: leon
@@ -109,6 +100,21 @@
 	return s
 }
 
+// pickAddresses picks a free address for each listener. They have a loopback address of their own, so that no connection of
+// another process takes one of the ports before the instance listens there.
+func (s *crowdStand) pickAddresses(names ...string) {
+	s.t.Helper()
+	pid := os.Getpid()
+	for _, name := range names {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.77.%d.%d:0", pid>>8&0xff, pid&0xff|1))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		s.addresses[name] = l.Addr().String()
+	}
+}
+
 // startWithFDs starts the program with a limit on its open descriptors.
 func startWithFDs(t *testing.T, name string, n int, args ...string) *process {
 	t.Helper()
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -25,7 +25,7 @@
 var errNoMemory = errors.New("the requests in flight hold all memory")
 
 // readBody reads the whole body until the deadline, so that attempts can be repeated and a disconnect of the caller is
-// noticed. The memory is also reserved from arriving, until the body is complete.
+// noticed. The memory of the request and its body is also reserved from arriving, until the body is complete.
 func readBody(
 	w http.ResponseWriter, r *http.Request, limit int, deadline time.Time, arriving *limiter.Bytes, reservation *limiter.Reservation,
 ) ([]byte, *refusal) {
@@ -39,14 +39,17 @@
 	if limit > 0 && r.ContentLength > int64(limit) {
 		return nil, tooLong
 	}
+	part, ok := arriving.Reserve(requestBytes)
+	if !ok {
+		return nil, noMemory()
+	}
+	defer part.Release()
 	// Not every kind of connection supports a deadline; the server's own then applies.
 	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, int64(limit))
 	}
-	part, _ := arriving.Reserve(0)
-	defer part.Release()
 	b, err := readReserved(body, r.ContentLength, reservations{reservation, part})
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var long *http.MaxBytesError
--- a/forwarder/memory_test.go
+++ b/forwarder/memory_test.go
@@ -151,3 +151,34 @@
 	clear(p)
 	return len(p), nil
 }
+
+// TestArrivingBodies guards against bodies that take the memory of complete requests while they arrive, and against memory that
+// isn't returned once they have arrived.
+func TestArrivingBodies(t *testing.T) {
+	tr := newTier(t)
+	tr.Arriving = limiter.NewBytes(requestBytes + 1000)
+	held := make(chan int64, 1)
+	tr.upstream(t, "a", "a1", "", func(w http.ResponseWriter, _ *http.Request) {
+		held <- tr.Arriving.Used()
+		w.Header().Set("X-Proof", "p")
+	})
+	tr.route(order(false))
+	if resp, _ := tr.call(t, "POST", "/o/1", strings.Repeat("b", 1001)); resp.status != http.StatusServiceUnavailable || resp.header.Get("Retry-After") == "" {
+		t.Errorf("body over the bound: got %d, Retry-After %q, want 503 with a time", resp.status, resp.header.Get("Retry-After"))
+	}
+	if got := tr.runsOf("a1"); got != 0 {
+		t.Errorf("runs of the refused request: got %d, want 0", got)
+	}
+	if resp, _ := tr.call(t, "POST", "/o/1", strings.Repeat("b", 1000)); resp.status != http.StatusOK {
+		t.Errorf("body within the bound: got %d, want 200", resp.status)
+	}
+	if got := <-held; got != 0 {
+		t.Errorf("held while the request runs: got %d bytes, want 0", got)
+	}
+	// Short bodies hold the memory of their requests, too.
+	other, _ := tr.Arriving.Reserve(1001)
+	defer other.Release()
+	if resp, _ := tr.call(t, "POST", "/o/1", "b"); resp.status != http.StatusServiceUnavailable {
+		t.Errorf("short body beside others: got %d, want 503", resp.status)
+	}
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,5 +1,6 @@
-// Package limiter bounds the concurrency towards each upstream, the connections that an instance may hold to it, and the
-// memory of the requests in flight.
+// Package limiter bounds the concurrency towards each upstream, the connections that an instance may hold to it, and what
+// callers can make a process hold: an Account divides its memory and descriptors, and a ConnTable decides which
+// connections of callers are closed.
 //
 // A limit starts at the upstream's slots divided by the live instances, grows by additive increase while it is in
 // use, and falls by multiplicative decrease on sheds and on latency far above its baseline, down to one. Where the
@@ -14,6 +15,10 @@
 //	l := limiter.New(limiter.WithSlots(slotsOf), limiter.WithInstances(liveInstances))
 //	b := balancer.New(balancer.WithLimits(l))
 //	share := limiter.ConnShare(30, 7)
+//
+//	account := limiter.NewAccount(184<<20, 4100)
+//	table := limiter.NewConnTable(account, limiter.Times{Write: 10 * time.Second, Body: 40 * time.Second})
+//	callers := table.Group("callers", account.Connections)
 package limiter
 
 import (
--- a/server/body_test.go
+++ b/server/body_test.go
@@ -6,9 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
+
+	"carobbend.example/carobbend/limiter"
 )
 
 // TestBodyTimeout guards against a reply to an incomplete body that names addresses of the connection or repeats an empty
@@ -52,3 +55,27 @@
 		t.Error("got a request id, want none where the caller sent none")
 	}
 }
+
+// TestRequestsWithoutMemory guards against requests that run although their memory can't be reserved, before their body or while
+// it is read, and against memory that isn't returned.
+func TestRequestsWithoutMemory(t *testing.T) {
+	for _, limit := range []int64{requestBytes - 1, requestBytes + decodeFactor} {
+		s, _ := newTestServer(t)
+		cfg := s.cfg
+		cfg.Memory, cfg.Arriving = limiter.NewBytes(limit), limiter.NewBytes(limit)
+		s, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := httptest.NewRequest(http.MethodPost, "/v1/query", strings.NewReader(`{"index":"desk","text":"t"}`))
+		r.Header.Set("Authorization", "Bearer token-one")
+		w := httptest.NewRecorder()
+		s.callerHTTP.Handler.ServeHTTP(w, r)
+		if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" || !strings.Contains(w.Body.String(), errNoMemory.Error()) {
+			t.Errorf("%d bytes: got %d %s, want 503 with a time and the reason", limit, w.Code, w.Body)
+		}
+		if got := cfg.Memory.Used() + cfg.Arriving.Used(); got != 0 {
+			t.Errorf("%d bytes: got %d bytes reserved after the end, want 0", limit, got)
+		}
+	}
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -109,9 +109,15 @@
 			return noMemory(c)
 		}
 		defer r.Release()
-		part, _ := s.cfg.Arriving.Reserve(0)
-		defer part.Release()
 		req := c.Request()
+		if req.ContentLength == 0 {
+			return next(c)
+		}
+		part, ok := s.cfg.Arriving.Reserve(requestBytes)
+		if !ok {
+			return noMemory(c)
+		}
+		defer part.Release()
 		req.Body = reservedBody{req.Body, r, part}
 		return next(c)
 	}
