--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/acceptor"
 	"carobbend.example/carobbend/allotter"
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/enroller"
@@ -41,15 +41,10 @@
 	// otherDataCentreFactor multiplies the score of upstreams in other data centres, since traffic between data
 	// centres costs money.
 	otherDataCentreFactor = 2.5
-	// memoryLimitFraction is the fraction of the memory that is set as the runtime's soft memory limit, near which it
-	// collects garbage more often.
-	memoryLimitFraction = 0.6
 	// routingWaitTimeout bounds the time that a request waits for the first routing configuration; reading it takes some
 	// 30 ms. routingWaitWindow is the time after activation during which requests wait.
 	routingWaitTimeout = 100 * time.Millisecond
 	routingWaitWindow  = 500 * time.Millisecond
-	// requestMemoryFraction is the fraction of the memory that the requests in flight may hold.
-	requestMemoryFraction = 0.3
 )
 
 // forwardInstance is one forwarding instance with its components.
@@ -78,6 +73,10 @@
 	// reporter shares observations of upstreams; nil unless the settings ask for it.
 	reporter *reporter.Reporter
 	meter    *meter.Forward
+	// account divides the memory and the descriptors; guard applies it to the listeners by the decisions of conns.
+	account  limiter.Account
+	conns    *limiter.ConnTable
+	guard    *acceptor.Guard
 	draining chan struct{}
 	// suspensionDetector detects that the machine was suspended while no request arrived.
 	suspensionDetector timekeeper.SuspensionDetector
@@ -109,9 +108,9 @@
 
 func newForwardInstance(file string, cfg *settings.Forward) *forwardInstance {
 	x := &forwardInstance{file: file, cfg: cfg, log: logger.New("instance"), draining: make(chan struct{}), routingReady: make(chan struct{})}
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB) * (1 << 20)))
-	}
+	setMemoryLimit(cfg.MemoryMB)
+	x.account, x.conns = newConnTable(cfg.MemoryMB, cfg.MaxFDs, cfg.CallerLimits)
+	x.guard = acceptor.NewGuard(x.conns)
 	x.self = carobbend.Instance{
 		Name: cfg.Instance, Incarnation: ulid.Make().String(), DataCentre: cfg.DataCentre,
 		CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers, Ready: true, Capacity: cfg.Cores,
@@ -131,7 +130,7 @@
 			DrainTime: cfg.DrainTime, Warmup: restrictor.Warmup{Overage: cfg.Warmup.Overage, Slack: cfg.Warmup.Slack},
 		},
 		OnResume: x.onResume, AwaitRouting: x.awaitRouting,
-		Memory: limiter.NewBytes(int64(requestMemoryFraction * float64(cfg.MemoryMB) * (1 << 20))),
+		Memory: x.account.Requests, Arriving: x.account.Arriving,
 	})
 	x.store = platform.NewStore(cfg.Store)
 	if cfg.Listen.Peers != "" {
@@ -194,6 +193,7 @@
 		Members:    func() int64 { return int64(x.selector.InstanceCount()) },
 		Allotments: x.allotments.Accounts,
 		Reports:    x.reportCounts,
+		Limits:     meter.LimitSources{Connections: x.conns.Sizes, Closed: x.conns.Counts, Reserved: x.account.Used},
 		RoutingVersion: func() int64 {
 			if t := x.router.Table(); t != nil {
 				return int64(t.Version())
@@ -249,6 +249,7 @@
 		x.log.Info("routes limit their requests to different regions, which is not enforced", "version", r.Version)
 	}
 	if ok {
+		x.conns.SetLimits(r.Limits)
 		x.allotments.SetAccounts(r.Accounts)
 	}
 	if ok && !x.routingKnown {
--- a/cmd/carobbend/harness_test.go
+++ b/cmd/carobbend/harness_test.go
@@ -59,7 +59,12 @@
 
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, cmd: exec.Command(program, args...), ready: make(chan []byte, 1), done: make(chan struct{})}
+	return startCommand(t, name, exec.Command(program, args...))
+}
+
+func startCommand(t *testing.T, name string, cmd *exec.Cmd) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: cmd, ready: make(chan []byte, 1), done: make(chan struct{})}
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -155,6 +160,19 @@
 `
 
 func startTier(t *testing.T, instances ...string) *tier {
+	t.Helper()
+	f := startTierWithout(t)
+	for _, name := range instances {
+		f.startInstance(name)
+	}
+	for _, name := range instances {
+		f.awaitReady(name, len(instances))
+	}
+	return f
+}
+
+// startTierWithout starts the emulated platform and upstreams, but no instance.
+func startTierWithout(t *testing.T) *tier {
 	t.Helper()
 	f := &tier{
 		t: t, dir: t.TempDir(), control: map[string]string{}, upstreams: map[string][]emulator.MemberState{},
@@ -172,12 +190,6 @@
 		f.control[name], f.upstreams[name] = ready.Address, ready.Upstreams
 	}
 	f.applyRules(testRules)
-	for _, name := range instances {
-		f.startInstance(name)
-	}
-	for _, name := range instances {
-		f.awaitReady(name, len(instances))
-	}
 	return f
 }
 
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -55,16 +55,25 @@
 	if !ok {
 		return nil
 	}
-	tc, ok := c.conn.(interface{ SetLinger(sec int) error })
+	tc, ok := tcpConn(c.conn)
 	if !ok {
 		return nil
 	}
 	return tc.SetLinger(0)
 }
 
+// tcpConn returns the TCP connection that c is or wraps.
+func tcpConn(c net.Conn) (*net.TCPConn, bool) {
+	if w, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = w.NetConn()
+	}
+	tc, ok := c.(*net.TCPConn)
+	return tc, ok
+}
+
 // roundTrip returns the kernel's estimate of the round-trip time of a TCP connection, or 0.
 func roundTrip(c net.Conn) time.Duration {
-	tc, ok := c.(*net.TCPConn)
+	tc, ok := tcpConn(c)
 	if !ok {
 		return 0
 	}
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -38,6 +38,8 @@
 	Allotments func() []allotter.Account
 	// Reports returns the totals of reports to and from other instances.
 	Reports func() reporter.Counts
+	// Limits are the connections and the memory of callers.
+	Limits LimitSources
 }
 
 // Forward records the events of a forwarding instance. It implements forwarder.Recorder and is safe for concurrent
@@ -73,6 +75,7 @@
 	b.observableGauge("carobbend_members", "Instances in the list, this one included.", src.Members)
 	b.observableCounter("carobbend_store_calls", "Calls to the store; a watch is one call.", src.StoreCalls)
 	b.observableCounter("carobbend_log_lines_dropped", "Log lines dropped since the output was too slow.", src.DroppedLines)
+	b.observeLimits(src.Limits)
 	b.observableFlag("carobbend_ready", "1 if this instance may be named to callers.", src.Ready)
 	b.observeDataCentres(src.DataCentres)
 	b.observeRestricted(src.Restricted)
@@ -102,9 +105,12 @@
 
 // Handler serves the metrics in the Prometheus format.
 func (m *Forward) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
+// maxScrapes bounds the replies with metrics that are made or sent at a time; each is held whole.
+const maxScrapes = 4
+
 type routeKey struct {
 	route   string
 	outcome forwarder.Outcome
