Tell callers when owners may use their allotments after a start

After all instances were lost, a refusal said 0.3 to 0.6 s, whatever was left of the wait of a new owner. It now says that time.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -39,9 +39,11 @@
 	whole = 1 << 16
 	// grantValidity is how long a granted part may be used, from when the request for it was sent. A process that lost its
 	// predecessor's list of grants waits for this time before it uses or grants its own parts.
-	grantValidity = 800 * time.Millisecond
+	grantValidity = 650 * time.Millisecond
 	// clockMargin is added where an instance relies on a time measured by another one.
 	clockMargin = 50 * time.Millisecond
+	// startWait is how long a process that has just started neither uses nor grants its parts.
+	startWait = grantValidity + clockMargin
 	// confirmationValidity is how long an owner uses its parts after it last knew the record of owners to be current. An
 	// outage of the store lasts up to 14 s, and a quiet watch up to 4.5 s.
 	confirmationValidity = 20 * time.Second
@@ -58,8 +60,10 @@
 	deliveryTime = 300 * time.Millisecond
 	// maxRetryAfter bounds the time after which a refused request may come back.
 	maxRetryAfter = 2 * time.Second
-	// unknownRetryAfter is that time while this instance holds no part.
+	// unknownRetryAfter is that time while this instance holds no part. After a start it is the time until owners may use their parts,
+	// and startSpread the time over which callers then return.
 	unknownRetryAfter = 300 * time.Millisecond
+	startSpread       = 100 * time.Millisecond
 	// minRetryAfter is long enough for an answer to a request for more parts.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -204,7 +208,7 @@
 		x.served++
 		return 0, true
 	}
-	return a.refuse(x), false
+	return a.refuse(x, now), false
 }
 
 // takeToken takes a token of this instance's parts, or one request of its reserve.
@@ -236,13 +240,13 @@
 		return 0, true
 	}
 	x.arrived++
-	return a.refuse(x), false
+	return a.refuse(x, now), false
 }
 
-func (a *Allotter) refuse(x *account) time.Duration {
+func (a *Allotter) refuse(x *account, now time.Duration) time.Duration {
 	x.refused++
 	x.refusedNow++
-	return x.retryAfter()
+	return a.retryAfter(x, now)
 }
 
 // Return gives back the token of a request that was not sent to any upstream and never will be.
@@ -260,8 +264,11 @@
 
 // retryAfter returns when a token is expected. Beyond the first one the refused requests share the rate, so each is given
 // a random place among them.
-func (x *account) retryAfter() time.Duration {
+func (a *Allotter) retryAfter(x *account, now time.Duration) time.Duration {
 	rate := x.earning()
+	if wait := a.started + startWait - now; rate <= 0 && wait > 0 {
+		return wait + rand.N(startSpread)
+	}
 	if rate <= 0 {
 		return unknownRetryAfter + rand.N(unknownRetryAfter)
 	}
--- a/allotter/granting.go
+++ b/allotter/granting.go
@@ -44,7 +44,7 @@
 	inStep := s.sequence == req.GetApplied()
 	s.sequence, s.last = req.GetSequence(), now
 	validity := min(grantValidity, a.authorityEnd()-now)
-	if now < a.started+grantValidity+clockMargin || validity < time.Millisecond {
+	if now < a.started+startWait || validity < time.Millisecond {
 		return reply
 	}
 	reply.ValidMs, reply.Extended = uint64(validity.Milliseconds()), inStep
--- a/allotter/lending.go
+++ b/allotter/lending.go
@@ -43,7 +43,7 @@
 	}
 	a.settle(x, now)
 	if !a.takeToken(x, now) {
-		return x.retryAfter(), false
+		return a.retryAfter(x, now), false
 	}
 	x.lent++
 	return 0, true
--- a/allotter/owners.go
+++ b/allotter/owners.go
@@ -160,7 +160,7 @@
 // ownParts returns the parts of an account that this instance owns and may use or grant at a time. It uses the lesser of its
 // shares by the record and by the former one until the other owners have given up the difference.
 func (a *Allotter) ownParts(x *account, at time.Duration) int {
-	if x.removed > 0 || at < a.started+grantValidity+clockMargin || at >= a.authorityEnd() {
+	if x.removed > 0 || at < a.started+startWait || at >= a.authorityEnd() {
 		return 0
 	}
 	if at < a.owners.learned+a.hold() {
@@ -190,7 +190,7 @@
 // nextOwnChange returns the first time after at when ownParts may change by itself.
 func (a *Allotter) nextOwnChange(at time.Duration) time.Duration {
 	next := never
-	for _, t := range []time.Duration{a.started + grantValidity + clockMargin, a.owners.learned + a.hold(), a.authorityEnd()} {
+	for _, t := range []time.Duration{a.started + startWait, a.owners.learned + a.hold(), a.authorityEnd()} {
 		if t > at {
 			next = min(next, t)
 		}
