--- a/allotter/faults_test.go
+++ b/allotter/faults_test.go
@@ -19,7 +19,7 @@
 func (l *load) arrive(now time.Duration, rate float64, using ...string) {
 	for range l.f.poisson(rate * 0.01) {
 		l.offered++
-		if _, ok := l.f.take(using[l.f.rng.IntN(len(using))], &l.account); ok {
+		if l.f.take(using[l.f.rng.IntN(len(using))], &l.account) {
 			l.runs = append(l.runs, now)
 		} else {
 			l.refused++
--- a/allotter/fleet_test.go
+++ b/allotter/fleet_test.go
@@ -105,11 +105,10 @@
 }
 
 // take takes a token for a request at an instance, which borrows one on a miss as Runner.Take does. The messages take no time.
-func (f *fleet) take(name string, account *carobbend.Account) (time.Duration, bool) {
+func (f *fleet) take(name string, account *carobbend.Account) bool {
 	a := f.instances[name]
-	after, ok := a.Take(f.now, account)
-	if ok {
-		return 0, true
+	if _, ok := a.Take(f.now, account); ok {
+		return true
 	}
 	owners, hash := a.Lenders(f.now, account)
 	for _, owner := range owners {
@@ -119,13 +118,13 @@
 			a.LenderFailed(f.now, owner)
 		} else if _, ok := f.instances[owner].Lend(f.now, hash); ok {
 			a.Borrowed(account)
-			return 0, true
+			return true
 		}
 	}
 	if len(owners) > 0 {
 		a.NoneLent(f.now, account, 0)
 	}
-	return after, false
+	return false
 }
 
 // poisson returns a random number of arrivals.
@@ -170,7 +169,7 @@
 				var runs []time.Duration
 				f.run(200*time.Second, true, func(now time.Duration) {
 					for range f.poisson(0.6 * c.rate * 0.01) {
-						if _, ok := f.take(f.names[f.rng.IntN(c.using)], &account); ok {
+						if f.take(f.names[f.rng.IntN(c.using)], &account) {
 							served++
 							runs = append(runs, now)
 						} else {
@@ -212,7 +211,7 @@
 	f.run(f.now+seconds*time.Second, true, func(now time.Duration) {
 		for i := range accounts {
 			for range f.poisson(0.6 * accounts[i].Rate * 0.01) {
-				if _, ok := f.take(f.names[2*(i%4)+f.rng.IntN(2)], &accounts[i]); ok {
+				if f.take(f.names[2*(i%4)+f.rng.IntN(2)], &accounts[i]) {
 					served++
 				} else {
 					refused++
--- a/forwarder/token.go
+++ b/forwarder/token.go
@@ -44,11 +44,13 @@
 		q.countForRetries()
 		return nil
 	}
+	// A token that another instance lends counts from before it was asked for.
+	taken := timekeeper.Boot()
 	after, ok := q.f.Allotments.Take(ctx, q.account)
 	if !ok {
 		return overLimit(after)
 	}
-	q.tokenTaken = timekeeper.Boot()
+	q.tokenTaken = taken
 	q.countForRetries()
 	return nil
 }
