balancer: pace upstreams that started or recovered by their answers

When an upstream starts or recovers, each instance sees it idle and sends it a request at once, and each keeps one request at a silent one. With upstream-pace: adaptive, all instances together send such an upstream 4 requests in an interval of four usual latencies, twice as many after each good answer of anyone, and its full part after three. Failed, slow and abandoned requests take one back; answers without a free slot don't count, which reports now state. Nothing is limited where the other replicas aren't reliable and responsive, so that a restarted service isn't starved.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -99,6 +99,12 @@
 	return func(b *Balancer) { b.slots = f }
 }
 
+// WithPace limits the requests of all instances to an upstream that has just started, recovered or failed, by how it answers;
+// instances returns the number of instances that share the load. It needs WithInFlightLatency.
+func WithPace(instances func() int) Option {
+	return func(b *Balancer) { b.pacer = &pacer{instances: instances} }
+}
+
 // WithAllCandidates compares all candidates instead of two random ones, for shards with few replicas.
 func WithAllCandidates() Option { return func(b *Balancer) { b.compareAll = true } }
 
@@ -113,6 +119,7 @@
 	noEject      bool
 	noSlowStart  bool
 	ignoreLoad   bool
+	pacer        *pacer
 
 	mu    sync.Mutex
 	rng   *rand.Rand
@@ -162,6 +169,12 @@
 		// Without failure rates, which are recorded only with WithInFlightLatency, the last reply says whether it sheds.
 		eligible = prefer(eligible, func(n *node) bool { return !now.Before(n.shedUntil) })
 	}
+	if b.pacer != nil {
+		for _, n := range nodes {
+			n.picks.add(now, 1)
+		}
+		eligible = b.pacer.filter(now, eligible, b.latencyDecay, b.rng)
+	}
 	if b.limits != nil {
 		eligible = prefer(eligible, func(n *node) bool { return b.limits.Allow(now, n.id) })
 	}
@@ -234,6 +247,13 @@
 	}
 	if b.useInFlight && kind != carobbend.FailureSnapshotGone {
 		n.count(now, kind, latency, load)
+		if b.pacer != nil {
+			before := n.pace
+			n.recordPace(kind, float64(latency)/float64(referenceLatency), load)
+			if n.pace != before {
+				n.inQuestionUntil = now.Add(questionTime)
+			}
+		}
 	}
 	switch kind {
 	case carobbend.FailureNone:
@@ -260,6 +280,13 @@
 	b.node(now, id).setLeaving(now, leaving)
 }
 
+// Started records that the process of an upstream has just started. With WithPace it gets a growing part of the requests.
+func (b *Balancer) Started(now time.Time, id carobbend.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.node(now, id).pace.start()
+}
+
 // Remove drops the state of upstreams that are no longer in use.
 func (b *Balancer) Remove(ids ...carobbend.UpstreamID) {
 	b.mu.Lock()
--- a/balancer/node.go
+++ b/balancer/node.go
@@ -107,6 +107,9 @@
 	peers           peerView
 	unreported      unreported
 	inQuestionUntil time.Time
+	// picks is the number of recent choices for which the upstream was a candidate.
+	picks evidence
+	pace  pace
 }
 
 // score is the expected cost of one more request; unknown is the latency assumed before the first observation.
--- a/balancer/observations.go
+++ b/balancer/observations.go
@@ -36,6 +36,8 @@
 	Upstream carobbend.UpstreamID
 	// Served, Shed and Failed are numbers of requests; Shed holds those that were shed although the upstream reported capacity.
 	Served, Shed, Failed int
+	// Full is the number of those in Served whose replies reported no free slot.
+	Full int
 	// Overdue is the number of requests that take longer than expected, in flight or canceled.
 	Overdue int
 	// Latency is the mean latency of the requests in Served and of those in Overdue so far, in latencies that are usual for
@@ -51,6 +53,8 @@
 // unreported counts observations since the last report.
 type unreported struct {
 	served, shed, failed int
+	// full is the number of those in served whose replies reported no free slot.
+	full int
 	// abandoned is the number of requests that were canceled after a slow time.
 	abandoned int
 	// latency is the sum of the latencies of the requests served and abandoned, in reference latencies.
@@ -185,6 +189,9 @@
 	switch {
 	case kind == carobbend.FailureNone:
 		n.unreported.served++
+		if load >= freeLoad {
+			n.unreported.full++
+		}
 		n.unreported.latency += l
 		n.unreported.slow = n.unreported.slow || l >= slowLatencyFactor
 	case kind == carobbend.FailureShed && HasCapacity(load):
@@ -209,7 +216,8 @@
 }
 
 // TakeObservations appends to buf what was observed since the last call of the upstreams that are in question, and returns it.
-// An upstream is in question while this instance or another one observes trouble, and for questionTime after that. It is for
+// An upstream is in question while this instance or another one observes trouble, for questionTime after that, and while it
+// gets less than its full part (WithPace). It is for
 // instances whose reports RecordPeerObservations takes in.
 func (b *Balancer) TakeObservations(now time.Time, buf []Observation) []Observation {
 	b.mu.Lock()
@@ -225,10 +233,10 @@
 		if u.shed+u.failed+overdue > 0 || u.slow {
 			n.inQuestionUntil = now.Add(questionTime)
 		}
-		if !now.Before(n.inQuestionUntil) {
+		if !now.Before(n.inQuestionUntil) && (b.pacer == nil || n.pace.isFull()) {
 			continue
 		}
-		o := Observation{Upstream: id, Served: u.served, Shed: u.shed, Failed: u.failed, Overdue: overdue}
+		o := Observation{Upstream: id, Served: u.served, Full: u.full, Shed: u.shed, Failed: u.failed, Overdue: overdue}
 		if k := u.served + overdue; k > 0 {
 			o.Latency = (u.latency + overdueLatency) / float64(k)
 		}
@@ -245,6 +253,9 @@
 	for _, o := range observations {
 		n := b.node(now, o.Upstream)
 		n.peers.record(now, o)
+		if b.pacer != nil {
+			n.recordPeerPace(o)
+		}
 		if o.IsTrouble() {
 			n.inQuestionUntil = now.Add(questionTime)
 		}
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -104,9 +104,13 @@
 		CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers, Ready: true, Capacity: cfg.Cores,
 	}
 	headers := platform.Headers()
-	x.balancer = scatterer.NewBalancer(
+	opts := []balancer.Option{
 		balancer.WithDistance(x.distance), balancer.WithSlots(x.slotShare), balancer.WithSeed(uint64(time.Now().UnixNano())),
-	)
+	}
+	if cfg.UpstreamPace == settings.PaceAdaptive {
+		opts = append(opts, balancer.WithPace(x.selector.InstanceCount))
+	}
+	x.balancer = scatterer.NewBalancer(opts...)
 	x.retryBudget = hedger.NewWindowBudget(cfg.ExtraLoad.Window)
 	// The slack is divided among the instances, whose number is known only once the instance list is read.
 	x.retryBudget.Set(time.Now(), extraRatioFactor*cfg.ExtraLoad.Ratio, 0)
@@ -215,6 +219,8 @@
 	for _, r := range records {
 		all = append(all, r)
 	}
+	// Those of the first list were started before this instance, as far as it knows.
+	first := x.upstreams.Size() == 0
 	c := x.upstreams.Update(all)
 	if x.reporter != nil {
 		x.reporter.SetUpstreams(records)
@@ -222,6 +228,9 @@
 	now := time.Now()
 	for _, r := range c.Joined {
 		x.balancer.Remove(r.ID)
+		if !first {
+			x.balancer.Started(now, r.ID)
+		}
 		x.log.Info("upstream joined", "upstream", r.ID, "service", r.Service, "address", r.Address)
 	}
 	for _, r := range c.Leaving {
--- a/reporter/core.go
+++ b/reporter/core.go
@@ -27,7 +27,7 @@
 	// messageBytes is the size of a message without its entries, in bytes: two packets of TCP over IP, the frame of the link and
 	// that of the message. entryBytes is that of an entry.
 	messageBytes = 150
-	entryBytes   = 10
+	entryBytes   = 11
 	// maxEntries bounds the entries of a report; the rest is left out, that without trouble first.
 	maxEntries = 128
 	// minEntries is the number of entries for which a report waits if it must wait: with fewer, the headers are most of it.
@@ -150,6 +150,7 @@
 	for _, o := range entries {
 		r.Upstreams = append(r.Upstreams, c.keys[o.Upstream])
 		r.Served = append(r.Served, count(o.Served))
+		r.Full = append(r.Full, count(o.Full))
 		r.Shed = append(r.Shed, count(o.Shed))
 		r.Failed = append(r.Failed, count(o.Failed))
 		r.Overdue = append(r.Overdue, count(o.Overdue))
@@ -162,7 +163,7 @@
 // upstreams are left out, and counts are bounded.
 func (c *Core) Receive(from string, r *encoder.UpstreamReport) []balancer.Observation {
 	n := min(len(r.GetUpstreams()), maxEntries)
-	if from == c.self || !c.known[from] || min(len(r.GetServed()), len(r.GetShed()), len(r.GetFailed()), len(r.GetOverdue()), len(r.GetLatency())) < n {
+	if from == c.self || !c.known[from] || min(len(r.GetServed()), len(r.GetFull()), len(r.GetShed()), len(r.GetFailed()), len(r.GetOverdue()), len(r.GetLatency())) < n {
 		return nil
 	}
 	out := make([]balancer.Observation, 0, n)
@@ -172,7 +173,7 @@
 			continue
 		}
 		out = append(out, balancer.Observation{
-			Upstream: id, Served: bounded(r.GetServed()[i]), Shed: bounded(r.GetShed()[i]), Failed: bounded(r.GetFailed()[i]),
+			Upstream: id, Served: bounded(r.GetServed()[i]), Full: bounded(r.GetFull()[i]), Shed: bounded(r.GetShed()[i]), Failed: bounded(r.GetFailed()[i]),
 			Overdue: bounded(r.GetOverdue()[i]), Latency: min(float64(r.GetLatency()[i])*latencyUnit, maxLatency),
 		})
 	}
@@ -183,7 +184,7 @@
 func merge(a, b balancer.Observation) balancer.Observation {
 	na, nb := float64(a.Served+a.Overdue), float64(b.Served+b.Overdue)
 	sum := balancer.Observation{
-		Upstream: b.Upstream, Served: a.Served + b.Served, Shed: a.Shed + b.Shed, Failed: a.Failed + b.Failed,
+		Upstream: b.Upstream, Served: a.Served + b.Served, Full: a.Full + b.Full, Shed: a.Shed + b.Shed, Failed: a.Failed + b.Failed,
 		Overdue: a.Overdue + b.Overdue,
 	}
 	if na+nb > 0 {
--- a/settings/forward.go
+++ b/settings/forward.go
@@ -29,8 +29,14 @@
 	// ShareObservations says that this instance tells others what it observes of upstreams in trouble, and takes in what they
 	// tell. It needs Listen.Peers.
 	ShareObservations bool `yaml:"share-observations"`
+	// UpstreamPace says how an upstream that has just started or recovered gets its part of the requests: PaceAdaptive, or at
+	// once if it is empty.
+	UpstreamPace string `yaml:"upstream-pace" validate:"omitempty,oneof=adaptive"`
 }
 
+// PaceAdaptive is the value of Forward.UpstreamPace with which the part grows with each good answer.
+const PaceAdaptive = "adaptive"
+
 // ForwardListen holds IP addresses with ports.
 type ForwardListen struct {
 	Callers   string `yaml:"callers" validate:"required,ip_port"`
--- a/settings/forward_test.go
+++ b/settings/forward_test.go
@@ -37,6 +37,7 @@
 		{"missing", "instance: edge-1", "instance: \"\"", "instance", 1},
 		{"name in place of an address", "127.0.0.1:8500", "store.example:80", "store", 7},
 		{"peers without a port", "  addresses: 127.0.0.1:7102", "  addresses: 127.0.0.1:7102\n  peers: 127.0.0.1", "listen.peers", 7},
+		{"unknown pace", "cores: 0.4", "upstream-pace: quick", "upstream-pace", 8},
 		{"out of range", "ratio: 0.2", "ratio: 2", "extra-load.ratio", 10},
 		{"short window", "  slack: 52", "  slack: 52\n  window: 5ns", "extra-load.window", 12},
 		{"negative", "cores: 0.4", "cores: -1", "cores", 8},
