--- a/settings/forward.go
+++ b/settings/forward.go
@@ -41,8 +41,14 @@
 	// ShareObservations says that this instance tells others what it observes of upstreams in trouble, and takes in what they
 	// tell. It needs Listen.Peers.
 	ShareObservations bool `yaml:"share-observations"`
+	// UpstreamPace says how an upstream that has just started or recovered gets its part of the requests: PaceAdaptive, or at
+	// once if it is empty.
+	UpstreamPace string `yaml:"upstream-pace" validate:"omitempty,oneof=adaptive"`
 }
 
+// PaceAdaptive is the value of Forward.UpstreamPace with which the part grows with each good answer.
+const PaceAdaptive = "adaptive"
+
 // CallerLimits bound what callers can make a process hold, beside the limits of the routing.
 type CallerLimits struct {
 	// Connections is the greatest number of callers' connections, OtherConnections that of each other listener; 0 derives
