--- a/restrictor/restrictor_test.go
+++ b/restrictor/restrictor_test.go
@@ -70,18 +70,6 @@
 	}
 }
 
-// TestManyEvacuations guards against memory that grows with the names that are written to the store and removed again.
-func TestManyEvacuations(t *testing.T) {
-	r := &Restrictor{}
-	for i := range 10_000 {
-		r.SetEvacuated([]carobbend.DataCentre{carobbend.DataCentre(time.Duration(i).String())})
-	}
-	r.SetEvacuated(nil)
-	if got := len(r.DataCentres()); got > maxDataCentres {
-		t.Errorf("got %d data centres, want at most %d", got, maxDataCentres)
-	}
-}
-
 // at returns a time after the epoch.
 func at(d time.Duration) time.Time { return epoch.Add(d) }
 
@@ -207,3 +195,15 @@
 		t.Errorf("late reply of the former process: got a pause of %v, want none", got)
 	}
 }
+
+// TestManyEvacuations guards against memory that grows with the names that are written to the store and removed again.
+func TestManyEvacuations(t *testing.T) {
+	r := &Restrictor{}
+	for i := range 10_000 {
+		r.SetEvacuated([]carobbend.DataCentre{carobbend.DataCentre(time.Duration(i).String())})
+	}
+	r.SetEvacuated(nil)
+	if got := len(r.DataCentres()); got > maxDataCentres {
+		t.Errorf("got %d data centres, want at most %d", got, maxDataCentres)
+	}
+}
