--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -198,11 +198,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	x := a.accounts[l.Name]
-	if x == nil {
-		x = a.setLimit(now, l)
-	}
-	a.settle(x, now)
+	x := a.settled(now, l)
 	x.arrived++
 	if a.takeToken(x, now) {
 		x.served++
@@ -211,6 +207,16 @@
 	return a.refuse(x, now), false
 }
 
+// settled returns the state of an account as of a time.
+func (a *Allotter) settled(now time.Duration, l *carobbend.Account) *account {
+	x := a.accounts[l.Name]
+	if x == nil {
+		return a.setLimit(now, l)
+	}
+	a.settle(x, now)
+	return x
+}
+
 // takeToken takes a token of this instance's parts, or one request of its reserve.
 func (a *Allotter) takeToken(x *account, now time.Duration) bool {
 	if x.level >= 1 {
@@ -231,11 +237,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	x := a.accounts[l.Name]
-	if x == nil {
-		x = a.setLimit(now, l)
-	}
-	a.settle(x, now)
+	x := a.settled(now, l)
 	if x.level >= 1 || x.overdraft.left(now, a.overdraftOf(x, now)) || len(x.owners) > 0 && now >= x.emptyUntil {
 		return 0, true
 	}
