--- a/allotter/account.go
+++ b/allotter/account.go
@@ -50,8 +50,8 @@
 type part struct {
 	parts int
 	until time.Duration
-	// told is what the owner was last asked for. It remembers that, and grants it as soon as it can.
-	told int
+	// requested is what the owner was last asked for. It remembers that, and grants it as soon as it can.
+	requested int
 }
 
 // grant is a part that this instance granted.
--- a/allotter/asking.go
+++ b/allotter/asking.go
@@ -33,10 +33,10 @@
 	// changed holds accounts whose parts a reply lowered, which the next request must confirm, with the tokens of these parts in
 	// 1000ths.
 	changed map[*account]uint32
-	// listed holds the targets of the outstanding request, and believed the accounts of which the owner may believe that this
+	// listed holds the targets of the outstanding request, and maybeHeld the accounts of which the owner may take it that this
 	// instance holds parts.
-	listed   []target
-	believed map[*account]bool
+	listed    []target
+	maybeHeld map[*account]bool
 }
 
 // Request is a request for parts to one owner.
@@ -80,8 +80,8 @@
 
 // target is the part of an account that an owner is to be asked for.
 type target struct {
-	x                  *account
-	held, told, wanted int
+	x                       *account
+	held, requested, wanted int
 	// urgent says that the request can't wait until the parts are extended anyway.
 	urgent bool
 }
@@ -101,21 +101,21 @@
 	for _, owner := range x.owners {
 		p := x.held[owner]
 		want := max(min(missing, x.shareOfOwner), 0)
-		if want <= p.told && want > p.told/tolerance {
-			want = p.told
+		if want <= p.requested && want > p.requested/tolerance {
+			want = p.requested
 		}
 		e := a.asked[owner]
-		if p.parts < p.told || e != nil && now < e.pauseUntil {
+		if p.parts < p.requested || e != nil && now < e.pauseUntil {
 			// The owner grants what it can.
 			missing -= p.parts
 		} else {
 			missing -= want
 		}
-		if want == 0 && p.parts == 0 && (e == nil || !e.believed[x]) {
+		if want == 0 && p.parts == 0 && (e == nil || !e.maybeHeld[x]) {
 			continue
 		}
-		urgent := want > p.told && x.pressed()
-		out[owner] = append(out[owner], target{x: x, held: p.parts, told: p.told, wanted: want, urgent: urgent})
+		urgent := want > p.requested && x.pressed()
+		out[owner] = append(out[owner], target{x: x, held: p.parts, requested: p.requested, wanted: want, urgent: urgent})
 	}
 }
 
@@ -123,7 +123,7 @@
 func (a *Allotter) exchangeWith(owner string) *exchange {
 	e := a.asked[owner]
 	if e == nil {
-		e = &exchange{changed: map[*account]uint32{}, believed: map[*account]bool{}, sent: -renewInterval}
+		e = &exchange{changed: map[*account]uint32{}, maybeHeld: map[*account]bool{}, sent: -renewInterval}
 		a.asked[owner] = e
 	}
 	return e
@@ -144,7 +144,7 @@
 		due = due || t.urgent
 		// After a lost reply nothing is extended that isn't listed.
 		_, changed := e.changed[t.x]
-		if !inStep || changed || t.wanted != t.told || t.wanted == 0 {
+		if !inStep || changed || t.wanted != t.requested || t.wanted == 0 {
 			listed = append(listed, t)
 		}
 	}
@@ -155,7 +155,7 @@
 	anyTokens := false
 	for _, t := range listed {
 		if t.wanted < t.held {
-			// What isn't needed is given up before the owner is told.
+			// What isn't needed is given up before the owner knows.
 			e.changed[t.x] += a.giveUp(t.x, now, owner, t.wanted)
 		}
 		returned = append(returned, e.changed[t.x])
@@ -163,7 +163,7 @@
 		body.Accounts = append(body.Accounts, t.x.hash)
 		body.Held = append(body.Held, uint32(min(t.held, t.wanted)))
 		body.Wanted = append(body.Wanted, uint32(t.wanted))
-		e.believed[t.x] = true
+		e.maybeHeld[t.x] = true
 	}
 	if anyTokens {
 		body.Returned = returned
@@ -194,10 +194,10 @@
 	for _, t := range e.listed {
 		a.settle(t.x, now)
 		if t.wanted == 0 {
-			delete(e.believed, t.x)
+			delete(e.maybeHeld, t.x)
 		}
 		p := t.x.held[owner]
-		p.told = t.wanted
+		p.requested = t.wanted
 		t.x.held[owner] = p
 	}
 	until := e.sent + min(time.Duration(reply.GetValidMs())*time.Millisecond, grantValidity)
@@ -218,7 +218,7 @@
 		parts := int(min(reply.GetParts()[i], whole))
 		if parts < p.parts {
 			e.changed[x] += a.giveUp(x, now, owner, parts)
-			e.believed[x] = true
+			e.maybeHeld[x] = true
 			x.contended = true
 		}
 		p.parts, p.until = parts, until
--- a/allotter/random_test.go
+++ b/allotter/random_test.go
@@ -11,8 +11,8 @@
 	"carobbend.example/carobbend/encoder"
 )
 
-// letter is a message on its way.
-type letter struct {
+// message is a message on its way.
+type message struct {
 	from, to string
 	// process is the sender's process of a request, to which its reply belongs.
 	process *Allotter
@@ -38,7 +38,7 @@
 	started  int
 	stored   *carobbend.AllotmentOwners
 	revision uint64
-	letters  []letter
+	messages []message
 	readings []reading
 	limits   [][]carobbend.Account
 	runs     map[string][]time.Duration
@@ -126,20 +126,20 @@
 func (d *adversary) ask() {
 	name, a := d.pick()
 	for _, r := range a.Tick(d.now) {
-		d.letters = append(d.letters, letter{from: name, to: r.To, process: a, request: r.Body})
+		d.messages = append(d.messages, message{from: name, to: r.To, process: a, request: r.Body})
 	}
 }
 
 // deliver delivers, loses or duplicates a message, in any order.
 func (d *adversary) deliver() {
-	if len(d.letters) == 0 {
+	if len(d.messages) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(d.letters)-1).Draw(d.t, "letter")
-	l := d.letters[i]
+	i := rapid.IntRange(0, len(d.messages)-1).Draw(d.t, "message")
+	l := d.messages[i]
 	fate := rapid.IntRange(0, 9).Draw(d.t, "fate")
 	if fate != 0 {
-		d.letters = append(d.letters[:i:i], d.letters[i+1:]...)
+		d.messages = append(d.messages[:i:i], d.messages[i+1:]...)
 	}
 	if fate == 1 {
 		l.process.Failed(d.now, l.to, l.request.GetSequence())
@@ -151,7 +151,7 @@
 			l.process.Accept(d.now, l.to, l.reply)
 			return
 		}
-		d.letters = append(d.letters, l)
+		d.messages = append(d.messages, l)
 		return
 	}
 	l.process.Accept(d.now, l.to, l.reply)
