connector: silence the connection that a test's request uses

A connection becomes idle a moment after its reply was read. If none is idle yet, the next request gets a new connection, which isn't silent, and nothing raises the suspicion. The test now silences such a connection, too, and sends again; its checks are unchanged.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -158,14 +158,24 @@
 			t.Fatal(err)
 		}
 	}
+	send := func() { _, err := c.Send(ctx, "u", request("silent")); done <- err }
 	u.l.Silence()
-	go func() { _, err := c.Send(ctx, "u", request("silent")); done <- err }()
+	go send()
 	// The request hangs until it is canceled; until then only the suspicion closes the idle connections.
 	for {
 		if now, _ := u.l.Open(); now <= 1 {
 			break
 		}
-		time.Sleep(time.Millisecond)
+		select {
+		case err := <-done:
+			// The connections of the first requests weren't idle yet, so that it got a new one, which isn't silent.
+			if err != nil {
+				t.Fatal(err)
+			}
+			u.l.Silence()
+			go send()
+		case <-time.After(time.Millisecond):
+		}
 	}
 	cancel()
 	if got, want := carobbend.FailureKindOf(<-done), carobbend.FailureCanceled; got != want {
