--- a/allotter/account.go
+++ b/allotter/account.go
@@ -40,9 +40,7 @@
 	// arrived and refusedNow count requests since the last tick.
 	arrived, refusedNow            int
 	served, fromOverdraft, refused int64
-	// lent counts the tokens that were given to requests at other instances. emptyUntil is the time until which owners aren't asked,
-	// since none had a token.
-	lent       int64
+	// emptyUntil is the time until which owners aren't asked for tokens, since none had one.
 	emptyUntil time.Duration
 }
 
--- a/allotter/lending.go
+++ b/allotter/lending.go
@@ -45,7 +45,6 @@
 	if !a.takeToken(x, now) {
 		return a.retryAfter(x, now), false
 	}
-	x.lent++
 	return 0, true
 }
 
