review: a crowd of stalled bodies ends the accepting of connections

Cause: after the read deadline of a body has passed, the answer 408 is never sent and the connection counts as served, so its place is never freed. No code is changed.

--- /dev/null
+++ b/review/standin-2/stalledbodies.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	crowdWaves    = 8
+	crowdWaveSize = 300
+	crowdGap      = time.Second
+	crowdBody     = 1000
+	crowdDeadline = 300
+	// ordinaryFor is how long ordinary clients try afterwards.
+	ordinaryFor = 40 * time.Second
+)
+
+// stalledBodies plays a crowd whose bodies stop one byte short of their end and whose connections stay open, and then ordinary
+// clients.
+func stalledBodies(p *Play) (bool, error) {
+	for i := range 3 {
+		p.Backend("supplier-feed", fmt.Sprintf("i-s-%d", i), 20*time.Millisecond)
+	}
+	cfg := &Config{
+		Version: 3, Services: []string{"supplier-feed"}, MaxConns: 96,
+		Routes: []map[string]any{Route("/part/", "idempotent", 3000, 500, 2, "supplier-feed")},
+	}
+	cfg.Put(p.Store)
+	x, err := p.Instance("edge-1", "")
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	for range 5 {
+		a := Get(x.Callers, "/part/before", 3000)
+		p.LogAnswer("ordinary request before the crowd", a)
+		if a.Status != 200 {
+			return false, fmt.Errorf("an ordinary request before the crowd got status %d", a.Status)
+		}
+	}
+
+	send := crowdBody
+	if p.Trouble {
+		send--
+	}
+	var opened, answered, closed atomic.Int64
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	body := strings.Repeat("b", send)
+	for wave := range crowdWaves {
+		for range crowdWaveSize {
+			wg.Go(func() {
+				c, err := net.DialTimeout("tcp4", x.Callers, time.Second)
+				if err != nil {
+					return
+				}
+				opened.Add(1)
+				mu.Lock()
+				conns = append(conns, c)
+				mu.Unlock()
+				head := Head("POST", "/part/crowd", NewID(), crowdDeadline, fmt.Sprintf("Content-Length: %d\r\n", crowdBody))
+				if _, err := io.WriteString(c, head+body); err != nil {
+					closed.Add(1)
+					return
+				}
+				go func() {
+					a := &Answer{Sent: time.Now()}
+					r := bufio.NewReader(c)
+					ReadAnswer(c, r, "POST", a, 110*time.Second)
+					if a.Err != nil {
+						closed.Add(1)
+						return
+					}
+					answered.Add(1)
+					// The client keeps its connection.
+					c.SetReadDeadline(time.Time{})
+					_, _ = r.ReadByte()
+					closed.Add(1)
+				}()
+			})
+		}
+		wg.Wait()
+		time.Sleep(crowdGap)
+		p.Log("crowd wave %d: connections opened so far %d, answered %d, closed by the instance %d, memory of the instance %d MB",
+			wave+1, opened.Load(), answered.Load(), closed.Load(), x.PeakMemory())
+	}
+
+	served, tried := 0, 0
+	for end := time.Now().Add(ordinaryFor); time.Now().Before(end); {
+		at := time.Now()
+		a := Get(x.Callers, "/part/after", 3000)
+		tried++
+		if a.Status == 200 && a.Err == nil {
+			served++
+		}
+		if tried <= 5 || tried%10 == 0 || a.Status != 200 {
+			p.LogAnswer("ordinary request after the crowd", a)
+		}
+		time.Sleep(time.Until(at.Add(500 * time.Millisecond)))
+	}
+	p.Log("ordinary requests after the crowd: tried %d, served %d", tried, served)
+	p.Log("crowd: connections opened %d, answered %d, closed by the instance %d; process ended: %v, peak memory %d MB",
+		opened.Load(), answered.Load(), closed.Load(), x.Exited(), x.PeakMemory())
+	resp := Get(x.Ready, "/ready", 1000)
+	p.Log("readiness check: status %d", resp.Status)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+	time.Sleep(time.Second)
+	p.LogAnswer("ordinary request once the crowd has left", Get(x.Callers, "/part/last", 3000))
+	return served == 0 || x.Exited(), nil
+}
