review: instances in reserve lend tokens by an outdated limit

Cause: an owner of allotments that returns to the reserve stops following the routing, and lends tokens by the limit that it knew for up to 20 s. Change: case review/8 with its script; the stand-in gains restarts, two sizes of instances and tenants. No code is changed.

--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -46,9 +46,9 @@
 
 // Run is a request that a backend received.
 type Run struct {
-	Backend, Service, ID, Method, URI, Body string
-	At                                      time.Time
-	Executed                                bool
+	Backend, Service, ID, Method, URI, Body, Tenant string
+	At                                              time.Time
+	Executed                                        bool
 }
 
 // Runs collects what all backends received.
@@ -179,7 +179,7 @@
 
 // Record notes a request that the backend received, and whether it ran it.
 func (b *Backend) Record(x *Exchange, body []byte, executed bool) {
-	runs.Add(Run{b.ID, b.Service, x.ID, x.Req.Method, x.Req.RequestURI, string(body), x.At, executed})
+	runs.Add(Run{b.ID, b.Service, x.ID, x.Req.Method, x.Req.RequestURI, string(body), x.Req.Header.Get("X-Tenant"), x.At, executed})
 }
 
 // Answer runs a request and answers it in the usual way.
@@ -242,6 +242,7 @@
 	Routes   []map[string]any
 	Services []string
 	MaxConns int
+	Tenants  []map[string]any
 }
 
 // Put writes the config to the store.
@@ -250,10 +251,14 @@
 	for _, name := range c.Services {
 		services = append(services, map[string]any{"name": name, "health_check": "/health", "max_connections": c.MaxConns, "protocol": "h1", "tls": false})
 	}
-	s.Put("op/config", map[string]any{
+	config := map[string]any{
 		"version": c.Version, "routes": c.Routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}
+	if len(c.Tenants) > 0 {
+		config["tenants"] = c.Tenants
+	}
+	s.Put("op/config", config)
 }
 
 // Route returns a route of one service, or of several shards.
--- a/review/standin-2/halfclose.go
+++ b/review/standin-2/halfclose.go
@@ -25,7 +25,10 @@
 		},
 	}
 	cfg.Put(p.Store)
-	x, err := p.Instance("edge-1", "")
+	x, err := p.Instance("edge-1", Options{Cores: 0.4})
+	if err == nil {
+		err = x.WaitReady(20 * time.Second)
+	}
 	if err != nil {
 		return false, err
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]func(*Play) (broken bool, err error){
 	"stalled-bodies": stalledBodies,
 	"half-close":     halfClose,
+	"stale-limit":    staleLimit,
 }
 
 // Log writes a line with the time since the start to the record and to standard output.
@@ -53,15 +54,15 @@
 	return b
 }
 
-// Instance starts an instance and waits until it is ready.
-func (p *Play) Instance(name, extra string) (*Instance, error) {
-	x, err := NewInstance(p.Program, p.Dir, name, p.Store, extra)
+// Instance starts an instance.
+func (p *Play) Instance(name string, o Options) (*Instance, error) {
+	x, err := NewInstance(p.Program, p.Dir, name, p.Store, o)
 	if err != nil {
 		return nil, err
 	}
 	p.instances = append(p.instances, x)
 	p.Log("instance %s started, process %d", name, x.cmd.Process.Pid)
-	return x, x.WaitReady(20 * time.Second)
+	return x, nil
 }
 
 // LogRuns writes what the backends received.
@@ -116,6 +117,9 @@
 		}
 	}()
 	broken, err := cases[os.Args[1]](p)
+	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
+		_ = os.CopyFS(keep, os.DirFS(dir))
+	}
 	switch {
 	case err != nil:
 		p.Log("can't run: %v", err)
--- a/review/standin-2/process.go
+++ b/review/standin-2/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,23 +22,57 @@
 	log                       *os.File
 	done                      chan struct{}
 	exitErr                   error
-	program                   string
-	settings                  string
+	program, settings, dir    string
+	peers, metrics            string
+	store                     *Store
+	options                   Options
 }
 
+// Options are the settings of an instance that differ between machines and deployments.
+type Options struct {
+	Cores float64
+	// More are further lines.
+	More string
+}
+
+var givenPorts = map[int]bool{}
+
+// freeAddress returns an address whose port is free now and lies outside the usual range of ports for outgoing connections, so that
+// a process can use it again after a restart.
 func freeAddress() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for range 1000 {
+		port := 20000 + rand.IntN(12000)
+		if givenPorts[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		givenPorts[port] = true
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
+	panic("no free port")
 }
 
 // NewInstance writes the settings of an instance, as the template of the deploy file renders them, and starts it.
-func NewInstance(program, dir, name string, s *Store, extra string) (*Instance, error) {
-	x := &Instance{Name: name, Callers: freeAddress(), Ready: freeAddress(), Addresses: freeAddress(), program: program}
+func NewInstance(program, dir, name string, s *Store, o Options) (*Instance, error) {
+	x := &Instance{
+		Name: name, Callers: freeAddress(), Ready: freeAddress(), Addresses: freeAddress(), program: program, dir: dir, store: s,
+		peers: freeAddress(), metrics: freeAddress(), options: o,
+	}
 	x.settings = filepath.Join(dir, name+".yaml")
+	return x, x.Start(true)
+}
+
+// writeSettings writes the settings of a start.
+func (x *Instance) writeSettings(firstStart bool) error {
+	first := ""
+	if firstStart {
+		first = "first-start: true\n"
+	}
 	text := fmt.Sprintf(`instance: %q
 data-centre: "dyfed-a"
 listen:
@@ -48,25 +83,24 @@
   metrics: %q
 store: %q
 stop-grace: 6s
-cores: 0.4
+cores: %v
 memory-mb: 284
 max-fds: 4100
-first-start: true
-drain-time: 3000ms
+%sdrain-time: 3000ms
 extra-load:
   ratio: 0.2
   slack: 52
   window: 10s
-%s`, name, x.Callers, x.Ready, x.Addresses, freeAddress(), freeAddress(), s.addr, extra)
-	if err := os.WriteFile(x.settings, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	return x, x.Start(dir)
+%s`, x.Name, x.Callers, x.Ready, x.Addresses, x.peers, x.metrics, x.store.addr, x.options.Cores, first, x.options.More)
+	return os.WriteFile(x.settings, []byte(text), 0o600)
 }
 
-// Start starts the process with the command of the deploy file.
-func (x *Instance) Start(dir string) error {
-	f, err := os.OpenFile(filepath.Join(dir, x.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+// Start starts the process with the command of the deploy file. firstStart says that the whole system starts for the first time.
+func (x *Instance) Start(firstStart bool) error {
+	if err := x.writeSettings(firstStart); err != nil {
+		return err
+	}
+	f, err := os.OpenFile(filepath.Join(x.dir, x.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -107,6 +141,12 @@
 // Signal sends a signal to the process.
 func (x *Instance) Signal(s syscall.Signal) { _ = x.cmd.Process.Signal(s) }
 
+// LogContains reports whether the process, or an earlier one of this instance, has written a text to its log.
+func (x *Instance) LogContains(text string) bool {
+	b, err := os.ReadFile(filepath.Join(x.dir, x.Name+".log"))
+	return err == nil && strings.Contains(string(b), text)
+}
+
 // Exited reports whether the process has ended.
 func (x *Instance) Exited() bool {
 	select {
--- a/review/standin-2/stalledbodies.go
+++ b/review/standin-2/stalledbodies.go
@@ -32,7 +32,10 @@
 		Routes: []map[string]any{Route("/part/", "idempotent", 3000, 500, 2, "supplier-feed")},
 	}
 	cfg.Put(p.Store)
-	x, err := p.Instance("edge-1", "")
+	x, err := p.Instance("edge-1", Options{Cores: 0.4})
+	if err == nil {
+		err = x.WaitReady(20 * time.Second)
+	}
 	if err != nil {
 		return false, err
 	}
