review: check the stalled bodies by the route's time-out

Change: ordinary requests are sent side by side, one a second, and counted without an answer half a second after timeout_ms.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -33,6 +33,8 @@
 	"stalled-bodies": stalledBodies,
 	"half-close":     halfClose,
 	"stale-limit":    staleLimit,
+	"route-memory":   routeMemory,
+	"long-pause":     longPause,
 }
 
 // Log writes a line with the time since the start to the record and to standard output.
--- a/review/standin-2/process.go
+++ b/review/standin-2/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -31,6 +32,8 @@
 // Options are the settings of an instance that differ between machines and deployments.
 type Options struct {
 	Cores float64
+	// MemoryMB is 284 if it is 0.
+	MemoryMB int
 	// More are further lines.
 	More string
 }
@@ -84,14 +87,14 @@
 store: %q
 stop-grace: 6s
 cores: %v
-memory-mb: 284
+memory-mb: %d
 max-fds: 4100
 %sdrain-time: 3000ms
 extra-load:
   ratio: 0.2
   slack: 52
   window: 10s
-%s`, x.Name, x.Callers, x.Ready, x.Addresses, x.peers, x.metrics, x.store.addr, x.options.Cores, first, x.options.More)
+%s`, x.Name, x.Callers, x.Ready, x.Addresses, x.peers, x.metrics, x.store.addr, x.options.Cores, cmp.Or(x.options.MemoryMB, 284), first, x.options.More)
 	return os.WriteFile(x.settings, []byte(text), 0o600)
 }
 
@@ -167,14 +170,20 @@
 }
 
 // PeakMemory returns the largest resident memory of the process so far, in MB.
-func (x *Instance) PeakMemory() int {
+func (x *Instance) PeakMemory() int { return x.status("VmHWM") }
+
+// OwnMemory returns the resident memory of the process now, without what it maps from files, in MB.
+func (x *Instance) OwnMemory() int { return x.status("RssAnon") }
+
+// status returns a field of the process's status in MB.
+func (x *Instance) status(field string) int {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", x.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(b)) {
 		var kb int
-		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kb); n == 1 {
+		if n, _ := fmt.Sscanf(line, field+": %d kB", &kb); n == 1 {
 			return kb >> 10
 		}
 	}
--- a/review/standin-2/stalledbodies.go
+++ b/review/standin-2/stalledbodies.go
@@ -17,8 +17,10 @@
 	crowdGap      = time.Second
 	crowdBody     = 1000
 	crowdDeadline = 300
-	// ordinaryFor is how long ordinary clients try afterwards.
-	ordinaryFor = 40 * time.Second
+	// ordinaryRequests are sent afterwards, one each second.
+	ordinaryRequests = 30
+	// routeTimeout is the timeout_ms of the route, and the deadline of ordinary clients.
+	routeTimeout = 3000
 )
 
 // stalledBodies plays a crowd whose bodies stop one byte short of their end and whose connections stay open, and then ordinary
@@ -29,7 +31,7 @@
 	}
 	cfg := &Config{
 		Version: 3, Services: []string{"supplier-feed"}, MaxConns: 96,
-		Routes: []map[string]any{Route("/part/", "idempotent", 3000, 500, 2, "supplier-feed")},
+		Routes: []map[string]any{Route("/part/", "idempotent", routeTimeout, 500, 2, "supplier-feed")},
 	}
 	cfg.Put(p.Store)
 	x, err := p.Instance("edge-1", Options{Cores: 0.4})
@@ -41,7 +43,7 @@
 	}
 	time.Sleep(time.Second)
 	for range 5 {
-		a := Get(x.Callers, "/part/before", 3000)
+		a := Get(x.Callers, "/part/before", routeTimeout)
 		p.LogAnswer("ordinary request before the crowd", a)
 		if a.Status != 200 {
 			return false, fmt.Errorf("an ordinary request before the crowd got status %d", a.Status)
@@ -95,20 +97,23 @@
 			wave+1, opened.Load(), answered.Load(), closed.Load(), x.PeakMemory())
 	}
 
-	served, tried := 0, 0
-	for end := time.Now().Add(ordinaryFor); time.Now().Before(end); {
-		at := time.Now()
-		a := Get(x.Callers, "/part/after", 3000)
-		tried++
-		if a.Status == 200 && a.Err == nil {
-			served++
-		}
-		if tried <= 5 || tried%10 == 0 || a.Status != 200 {
+	var served, unanswered atomic.Int64
+	for range ordinaryRequests {
+		wg.Go(func() {
+			a := Get(x.Callers, "/part/after", routeTimeout)
+			switch {
+			case a.Status == 200 && a.Err == nil:
+				served.Add(1)
+			case a.Err != nil && a.Took >= (routeTimeout+500)*time.Millisecond:
+				unanswered.Add(1)
+			}
 			p.LogAnswer("ordinary request after the crowd", a)
-		}
-		time.Sleep(time.Until(at.Add(500 * time.Millisecond)))
+		})
+		time.Sleep(time.Second)
 	}
-	p.Log("ordinary requests after the crowd: tried %d, served %d", tried, served)
+	wg.Wait()
+	p.Log("ordinary requests after the crowd: %d, served %d, without an answer half a second after the route's time-out %d",
+		ordinaryRequests, served.Load(), unanswered.Load())
 	p.Log("crowd: connections opened %d, answered %d, closed by the instance %d; process ended: %v, peak memory %d MB",
 		opened.Load(), answered.Load(), closed.Load(), x.Exited(), x.PeakMemory())
 	resp := Get(x.Ready, "/ready", 1000)
@@ -119,6 +124,6 @@
 		c.Close()
 	}
 	time.Sleep(time.Second)
-	p.LogAnswer("ordinary request once the crowd has left", Get(x.Callers, "/part/last", 3000))
-	return served == 0 || x.Exited(), nil
+	p.LogAnswer("ordinary request once the crowd has left", Get(x.Callers, "/part/last", routeTimeout))
+	return unanswered.Load() >= 8 && 2*unanswered.Load() > ordinaryRequests || x.Exited(), nil
 }
