review: tenants get nothing for 51 s once all owners of allotments are lost

Cause: the record of owners changes only 25.7 s after it was learned, and new owners use nothing for another 25.7 s.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -35,6 +35,7 @@
 	"stale-limit":    staleLimit,
 	"route-memory":   routeMemory,
 	"long-pause":     longPause,
+	"lost-owners":    lostOwners,
 }
 
 // Log writes a line with the time since the start to the record and to standard output.
--- a/review/standin-2/process.go
+++ b/review/standin-2/process.go
@@ -34,6 +34,8 @@
 	Cores float64
 	// MemoryMB is 284 if it is 0.
 	MemoryMB int
+	// Later says that the machine is added after the first start of the whole system.
+	Later bool
 	// More are further lines.
 	More string
 }
@@ -67,7 +69,7 @@
 		peers: freeAddress(), metrics: freeAddress(), options: o,
 	}
 	x.settings = filepath.Join(dir, name+".yaml")
-	return x, x.Start(true)
+	return x, x.Start(!o.Later)
 }
 
 // writeSettings writes the settings of a start.
--- a/review/standin-2/stalelimit.go
+++ b/review/standin-2/stalelimit.go
@@ -24,6 +24,8 @@
 	quotaOverage = 0.1
 	quotaSlack   = 20.0
 	configApply  = 5 * time.Second
+	// allotmentSettings are what the deploy template makes of these bounds.
+	allotmentSettings = "allotments:\n  window: 5s\n  overage: 0.1\n  slack: 20\n"
 )
 
 // staleLimit plays instances of two sizes. With the disruption, all of them lose power and start again, so that the smaller ones serve
@@ -37,14 +39,13 @@
 		Routes: []map[string]any{Route("/ledger/", "idempotent", 6000, 800, 2, "ledger-archive")},
 	}
 	cfg.Put(p.Store)
-	more := "allotments:\n  window: 5s\n  overage: 0.1\n  slack: 20\n"
 	var large, all []*Instance
 	for i := range 8 {
 		cores := 0.8
 		if i >= 4 {
 			cores = 0.448
 		}
-		x, err := p.Instance(fmt.Sprintf("edge-%d", i+1), Options{Cores: cores, More: more})
+		x, err := p.Instance(fmt.Sprintf("edge-%d", i+1), Options{Cores: cores, More: allotmentSettings})
 		if err != nil {
 			return false, err
 		}
@@ -97,7 +98,7 @@
 	load := newLimitLoad(large)
 	var wg sync.WaitGroup
 	for i := range limitTenants {
-		wg.Go(func() { load.run(i, stop) })
+		wg.Go(func() { load.run(i, limitPerSecond, stop) })
 	}
 	if p.Trouble {
 		returned := 0
@@ -131,17 +132,21 @@
 	mu        sync.Mutex
 	addresses []string
 	sent      map[string]time.Time
+	served    map[string]bool
 	statuses  map[int]int
 }
 
 func newLimitLoad(instances []*Instance) *limitLoad {
-	return &limitLoad{instances: instances, sent: map[string]time.Time{}, statuses: map[int]int{}}
+	return &limitLoad{instances: instances, sent: map[string]time.Time{}, served: map[string]bool{}, statuses: map[int]int{}}
 }
 
 // resolve asks an instance which addresses to use.
 func (l *limitLoad) resolve() {
 	c := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Get("http://" + l.instances[rand.IntN(len(l.instances))].Addresses + "/resolve?name=leno12.example&region=r&zone=dyfed-a")
+	l.mu.Lock()
+	asked := l.instances[rand.IntN(len(l.instances))].Addresses
+	l.mu.Unlock()
+	resp, err := c.Get("http://" + asked + "/resolve?name=leno12.example&region=r&zone=dyfed-a")
 	if err != nil {
 		return
 	}
@@ -157,9 +162,9 @@
 }
 
 // run sends the requests of one tenant, at even intervals, until stop is closed.
-func (l *limitLoad) run(tenant int, stop chan struct{}) {
+func (l *limitLoad) run(tenant, perSecond int, stop chan struct{}) {
 	l.resolve()
-	t := time.NewTicker(time.Second / limitPerSecond)
+	t := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer t.Stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -169,7 +174,7 @@
 		case <-stop:
 			return
 		}
-		if n%(4*limitPerSecond) == 0 {
+		if n%(4*perSecond) == 0 {
 			wg.Go(l.resolve)
 		}
 		wg.Go(func() { l.send(tenant) })
@@ -192,9 +197,33 @@
 	}
 	l.mu.Lock()
 	l.statuses[a.Status]++
+	l.served[a.ID] = a.Status == 200 && a.Err == nil && a.Header.Get("X-Response-Seal") != ""
 	l.mu.Unlock()
 }
 
+// setInstances names the instances that are asked for addresses from now on.
+func (l *limitLoad) setInstances(instances []*Instance) {
+	l.mu.Lock()
+	l.instances = instances
+	l.mu.Unlock()
+	l.resolve()
+}
+
+// count returns the number of requests that were sent in a time, and of those that were served.
+func (l *limitLoad) count(from, to time.Time) (sent, served int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, at := range l.sent {
+		if !at.Before(from) && at.Before(to) {
+			sent++
+			if l.served[id] {
+				served++
+			}
+		}
+	}
+	return sent, served
+}
+
 // check counts, for each tenant, the requests that were sent and run in windows that begin once the lower limit binds.
 func (l *limitLoad) check(p *Play, lowered time.Time) bool {
 	l.mu.Lock()
