--- a/review/standin-3/case_drain.go
+++ b/review/standin-3/case_drain.go
@@ -47,7 +47,7 @@
 		}
 		backends = append(backends, b)
 	}
-	instances, err := s.startInstances(6, "")
+	instances, err := s.startInstances(6, bajio)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin-3/case_tenants.go
+++ b/review/standin-3/case_tenants.go
@@ -46,7 +46,7 @@
 		}
 		backends = append(backends, b)
 	}
-	instances, err := s.startInstances(3, "")
+	instances, err := s.startInstances(3, bajio)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin-3/instance.go
+++ b/review/standin-3/instance.go
@@ -41,8 +41,17 @@
 	return out, nil
 }
 
+// machine is what a process may use.
+type machine struct {
+	cores    float64
+	memoryMB int
+}
+
+// bajio is a machine of the Bajío deployment.
+var bajio = machine{0.4, 284}
+
 // newInstance writes the settings of an instance by deploy/settings.yaml.tmpl with the figures of the Bajío deployment.
-func newInstance(dir string, s *store, name, zone string, firstStart bool, extra string) (*instance, error) {
+func newInstance(dir string, s *store, name, zone string, m machine) (*instance, error) {
 	a, err := freeAddresses(5)
 	if err != nil {
 		return nil, err
@@ -50,10 +59,6 @@
 	x := &instance{name: name, zone: zone, file: filepath.Join(dir, name+".yaml"), ports: map[string]string{
 		"callers": a[0], "readiness": a[1], "addresses": a[2], "peers": a[3], "metrics": a[4],
 	}}
-	first := ""
-	if firstStart {
-		first = "first-start: true\n"
-	}
 	text := fmt.Sprintf(`instance: %q
 data-centre: %q
 listen:
@@ -64,15 +69,15 @@
   metrics: %q
 store: %q
 stop-grace: 6s
-cores: 0.4
-memory-mb: 284
+cores: %v
+memory-mb: %d
 max-fds: 4100
-%sdrain-time: 3000ms
+drain-time: 3000ms
 extra-load:
   ratio: 0.2
   slack: 52
   window: 10s
-%s`, name, zone, a[0], a[1], a[2], a[3], a[4], s.address, first, extra)
+`, name, zone, a[0], a[1], a[2], a[3], a[4], s.address, m.cores, m.memoryMB)
 	if err := os.WriteFile(x.file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -116,11 +116,11 @@
 }
 
 // startInstances starts instances and waits until all of them are announced.
-func (s *setting) startInstances(n int, extra string) ([]*instance, error) {
+func (s *setting) startInstances(n int, m machine) ([]*instance, error) {
 	zones := []string{"leon", "guadalajara", "queretaro"}
 	var out []*instance
 	for i := range n {
-		x, err := newInstance(s.dir, s.store, fmt.Sprintf("edge-%d", i+1), zones[i%len(zones)], false, extra)
+		x, err := newInstance(s.dir, s.store, fmt.Sprintf("edge-%d", i+1), zones[i%len(zones)], m)
 		if err != nil {
 			return nil, err
 		}
