router: require keys where the routing states accounts, even none

Cause: whether keys are required followed from the number of accounts, and the decoder read an entry with an empty list like one without the list.

--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -1,7 +1,7 @@
 // Package authenticator finds the client account on whose behalf a caller sends a request.
 //
-// A caller proves the account by one of its keys, as a bearer token in the header Authorization. Without accounts in the
-// routing, that header has no meaning for this system.
+// A caller proves the account by one of its keys, as a bearer token in the header Authorization. Where the routing
+// requires no keys, that header has no meaning for this system.
 //
 // # Usage
 //
@@ -20,7 +20,7 @@
 )
 
 const (
-	// Header is the header that carries the key. It is not forwarded if the routing has accounts.
+	// Header is the header that carries the key. It is not forwarded if the routing requires keys.
 	Header = "Authorization"
 	// ChallengeHeader is the header of a refusal that tells the caller how to authenticate.
 	ChallengeHeader = "WWW-Authenticate"
@@ -32,9 +32,9 @@
 const scheme = "Bearer"
 
 // Authenticate returns the account that holds the request's key, or nil for a request without a valid key. It reports
-// whether the request may be served: without a valid key that is only so on a public route, or if the table has no accounts.
+// whether the request may be served: without a valid key that is only so on a public route, or if the table requires no keys.
 func Authenticate(t *router.Table, public bool, h http.Header) (*carobbend.Account, bool) {
-	if !t.HasAccounts() {
+	if !t.KeysRequired() {
 		return nil, true
 	}
 	if key, ok := keyOf(h); ok {
--- a/forwarder/account_test.go
+++ b/forwarder/account_test.go
@@ -127,6 +127,41 @@
 	}
 }
 
+// TestLastKeyIsWithdrawn guards against routes that are open to everyone, and keys that reach an upstream, after a routing
+// withdrew the last account.
+func TestLastKeyIsWithdrawn(t *testing.T) {
+	tr, seen := accountTier(t, carobbend.Account{Name: "shop", Keys: []string{"k1"}})
+	if got := tr.callWith(t, "/o/", nil, "Authorization", "Bearer k1"); got != 200 {
+		t.Errorf("before: got %d, want 200", got)
+	}
+	seen.take()
+	tr.routing.KeysRequired, tr.routing.Accounts = true, nil
+	other := order(true)
+	other.Name, other.Prefix = "other", "/other/"
+	tr.route(other)
+	for _, c := range []struct {
+		path    string
+		headers []string
+		want    int
+	}{
+		{"/o/", []string{"Authorization", "Bearer k1"}, 401},
+		{"/o/", []string{"Authorization", "Bearer k2"}, 401},
+		{"/o/", []string{"X-Tenant", "shop"}, 401},
+		{"/p/", []string{"Authorization", "Bearer k1", "X-Tenant", "shop"}, 200},
+	} {
+		if got := tr.callWith(t, c.path, nil, c.headers...); got != c.want {
+			t.Errorf("%s with %q: got %d, want %d", c.path, c.headers, got, c.want)
+		}
+		h := seen.take()
+		if c.want != 200 && h != nil {
+			t.Errorf("%s with %q: an upstream ran the request", c.path, c.headers)
+		}
+		if h.Get("Authorization") != "" || h.Get("X-Tenant") != "" {
+			t.Errorf("%s with %q: the upstream got the key or the name of an account", c.path, c.headers)
+		}
+	}
+}
+
 // TestKeyIsCheckedAgainAfterTheBody guards against requests that run under a key which was withdrawn, or for the account that
 // held it before, after the request waited for its body.
 func TestKeyIsCheckedAgainAfterTheBody(t *testing.T) {
--- a/forwarder/decide.go
+++ b/forwarder/decide.go
@@ -55,13 +55,13 @@
 	return nil
 }
 
-// requestHeader returns the headers for upstreams. With accounts in the routing the key isn't forwarded, and the header that
+// requestHeader returns the headers for upstreams. Where the routing requires keys, they aren't forwarded, and the header that
 // names the account has the name of the account that holds the key, whatever the caller sent.
 func (q *query) requestHeader(h http.Header) []byte {
 	var b []byte
-	accounts := q.table.HasAccounts()
+	required := q.table.KeysRequired()
 	q.f.Exchanger.ForwardHeaders(h, func(name, value string) {
-		if accounts && (name == authenticator.Header || name == q.f.Headers.Account) {
+		if required && (name == authenticator.Header || name == q.f.Headers.Account) {
 			return
 		}
 		b = append(b, name+": "+value+"\r\n"...)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,7 +61,7 @@
 	Proofs string
 	// Missing is the number of shards that a combined answer leaves out.
 	Missing string
-	// Account names the client account to upstreams. With accounts in the routing, a caller's own value is dropped.
+	// Account names the client account to upstreams. Where the routing requires keys, a caller's own value is dropped.
 	Account string
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -118,7 +118,7 @@
 		hosts:    make(map[string]*host),
 		services: make(map[string]carobbend.Service, len(routing.Services)),
 		limits:   routing.Limits,
-		accounts: newAccounts(routing.Version, routing.Accounts),
+		accounts: newAccounts(routing),
 	}
 	for _, s := range routing.Services {
 		t.services[s.Name] = s
--- a/routing.go
+++ b/routing.go
@@ -13,7 +13,10 @@
 	Routes []Route
 	// Services are the services to which the routes refer.
 	Services []Service
-	// Accounts are the client accounts. If there are none, requests need no key.
+	// KeysRequired says that requests need a key of a client account, except on public routes. Without any account, only public
+	// routes are served then.
+	KeysRequired bool
+	// Accounts are the client accounts. A routing that has some requires keys, too.
 	Accounts []Account
 	// Limits bound what a caller may send.
 	Limits CallerLimits
