forwarder: release requests that wait for a connection to a withdrawn upstream

Cause: an upstream is chosen before the request waits for a connection, and its record wasn't looked at again. The permission that is asked right before writing knew what replies and evacuations say, not what the entry says.

Change: the permission compares the record with the present one, and nothing is written to an upstream that is draining, gone, at another address, of another service or of a later start. When the set of upstreams changes so, or a data centre is evacuated, the pools of those upstreams are retired and the requests that wait in them are released: they go to another upstream as a first attempt or are refused at once as not run. Waiting for the connection alone would have held them until their deadline.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -272,10 +272,9 @@
 	for _, r := range records {
 		all = append(all, r)
 	}
-	x.forwarder.UpdateRestrictions(all)
 	// Those of the first list were started before this instance, as far as it knows.
 	first := x.upstreams.Size() == 0
-	c := x.upstreams.Update(all)
+	c := x.forwarder.UpdateUpstreams(all)
 	if x.reporter != nil {
 		x.reporter.SetUpstreams(records)
 	}
@@ -293,7 +292,6 @@
 	}
 	for _, r := range c.Left {
 		x.balancer.Remove(r.ID)
-		x.exchanger.Remove(r.ID)
 		x.log.Info("upstream left", "upstream", r.ID, "service", r.Service)
 	}
 }
--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -148,8 +148,8 @@
 }
 
 // Do sends the request and returns the reply. If its Remainder isn't nil, the caller reads it to the end or closes it. An error
-// is an *Error whose kind is one of: not-sent, no byte was written; restricted, the same, since Target.Permit denied it;
-// canceled, Cancel was called; deadline, the request's deadline passed; identity, only replies to other requests arrived;
+// is an *Error whose kind is one of: not-sent, no byte was written; restricted, the same, since Target.Permit denied it or
+// the upstream was removed; canceled, Cancel was called; deadline, the request's deadline passed; identity, only replies to other requests arrived;
 // oversized, the reply exceeded a bound; broken, the connection failed, or the reply was incomplete or malformed.
 func (a *Attempt) Do(t Target, r *Request) (*Reply, error) {
 	reply, err := a.do(t, r)
@@ -165,7 +165,11 @@
 	defer cancel()
 	waited, err := p.acquire(ctx, t.MaxConns)
 	if err != nil {
-		return nil, a.wrapError("acquire", carobbend.FailureNotSent, err)
+		kind := carobbend.FailureNotSent
+		if errors.Is(err, errNotPermitted) {
+			kind = carobbend.FailureRestricted
+		}
+		return nil, a.wrapError("acquire", kind, err)
 	}
 	c := p.takeIdle(time.Now())
 	if c == nil {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -108,7 +108,8 @@
 // Open returns the number of connections open now.
 func (x *Exchanger) Open() int64 { return x.open.Load() }
 
-// Remove removes the pools of upstreams and closes their idle connections; requests in flight finish.
+// Remove removes the pools of upstreams and closes their idle connections. Attempts that wait for a connection fail as restricted,
+// requests in flight finish. A later attempt to such an upstream opens new connections.
 func (x *Exchanger) Remove(ids ...carobbend.UpstreamID) {
 	x.mu.Lock()
 	var removed []*pool
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -406,6 +406,46 @@
 	}
 }
 
+// TestRemoveEndsWaitingAttempts guards against attempts that wait for a connection of an upstream that was removed, and that are
+// sent there or hold their caller until its deadline.
+func TestRemoveEndsWaitingAttempts(t *testing.T) {
+	release := make(chan struct{})
+	u := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		<-release
+		reply(w, r, 200, "")
+		return true
+	})
+	x := newExchanger(t)
+	p := x.pool(u.target())
+	errs := make(chan error, 5)
+	for range 5 {
+		go func() {
+			_, err := do(x, u, request("r"))
+			errs <- err
+		}()
+	}
+	for waiting := 0; waiting < 3; time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		waiting = len(p.waiters)
+		p.mu.Unlock()
+	}
+	x.Remove("up-1")
+	for range 3 {
+		if got := FailureKindOf(<-errs); got != carobbend.FailureRestricted {
+			t.Errorf("waiting attempt: got %q, want %q", got, carobbend.FailureRestricted)
+		}
+	}
+	close(release)
+	for range 2 {
+		if err := <-errs; err != nil {
+			t.Errorf("attempt in flight: got %v, want its reply", err)
+		}
+	}
+	if _, err := p.acquire(t.Context(), 2); FailureKindOf(err) != carobbend.FailureBroken || !errors.Is(err, errNotPermitted) {
+		t.Errorf("permit of a removed pool: got %v, want %v", err, errNotPermitted)
+	}
+}
+
 func TestParseLoad(t *testing.T) {
 	for _, c := range []struct {
 		in   string
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -21,10 +21,11 @@
 	x       *Exchanger
 	address string
 
-	mu      sync.Mutex
-	idle    []*conn
-	inUse   int
-	waiters []chan struct{}
+	mu    sync.Mutex
+	idle  []*conn
+	inUse int
+	// waiters are those of acquire in order. Each gets true with a permit, or false once the pool is retired.
+	waiters []chan bool
 	retired bool
 }
 
@@ -45,20 +46,27 @@
 
 func newPool(x *Exchanger, address string) *pool { return &pool{x: x, address: address} }
 
-// acquire takes a permit for one connection. It waits until ctx ends while all permits are in use, and reports whether it
-// waited.
+// acquire takes a permit for one connection. It waits while all permits are in use, until ctx ends or the pool is retired, and
+// reports whether it waited. A retired pool gives no permits.
 func (p *pool) acquire(ctx context.Context, limit int) (waited bool, err error) {
 	p.mu.Lock()
-	if p.inUse < max(limit, 1) {
+	switch {
+	case p.retired:
+		p.mu.Unlock()
+		return false, errNotPermitted
+	case p.inUse < max(limit, 1):
 		p.inUse++
 		p.mu.Unlock()
 		return false, nil
 	}
-	w := make(chan struct{})
+	w := make(chan bool, 1)
 	p.waiters = append(p.waiters, w)
 	p.mu.Unlock()
 	select {
-	case <-w:
+	case granted := <-w:
+		if !granted {
+			return true, errNotPermitted
+		}
 		return true, nil
 	case <-ctx.Done():
 	}
@@ -70,8 +78,10 @@
 			return true, ctx.Err()
 		}
 	}
-	// The permit was granted at the same moment, so it passes to the next waiter.
-	p.releasePermit()
+	if <-w {
+		// The permit was granted at the same moment, so it passes to the next waiter.
+		p.releasePermit()
+	}
 	return true, ctx.Err()
 }
 
@@ -95,7 +105,7 @@
 		p.inUse--
 		return
 	}
-	close(p.waiters[0])
+	p.waiters[0] <- true
 	p.waiters = p.waiters[1:]
 }
 
@@ -135,11 +145,15 @@
 	return c, nil
 }
 
-// retire closes the idle connections; those in use are closed when they are released.
+// retire closes the idle connections and ends the waits for a permit; connections in use are closed when they are released.
 func (p *pool) retire() {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle, p.retired = nil, true
+	for _, w := range p.waiters {
+		w <- false
+	}
+	p.waiters = nil
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.close()
--- a/forwarder/restrictions.go
+++ b/forwarder/restrictions.go
@@ -16,9 +16,12 @@
 const maxLoggedValue = 40
 
 // SetEvacuated replaces the evacuated data centres. Once it returns, no request is sent there any more; those in flight end
-// normally.
+// normally, and those that wait for a connection go elsewhere.
 func (f *Forwarder) SetEvacuated(dcs []carobbend.DataCentre) {
 	begun, ended := f.Restrictor.SetEvacuated(dcs)
+	if len(begun) > 0 {
+		f.Exchanger.Remove(f.upstreams.in(begun)...)
+	}
 	for _, e := range begun {
 		f.log.log.Info("evacuation requested", "data-centre", e.DataCentre, "in-flight", e.InFlight)
 		if e.InFlight == 0 {
@@ -60,14 +63,27 @@
 	return f.Restrictor.Filter(time.Now().Add(time.Duration(f.suspended.Load())), ids, f.upstreams.Record)
 }
 
-// UpdateRestrictions takes the records of all upstreams: it notes those that became cold, and drops the restrictions of processes
+// updateRestrictions takes the records of all upstreams: it notes those that became cold, and drops the restrictions of processes
 // that are gone. It is called before these records are used.
-func (f *Forwarder) UpdateRestrictions(records []carobbend.UpstreamRecord) {
+func (f *Forwarder) updateRestrictions(records []carobbend.UpstreamRecord) {
 	for _, u := range f.Restrictor.Update(f.bootTime(), records) {
 		f.log.notice("upstream is cold", u, "left-ms", u.WarmupLeft.Milliseconds())
 	}
 }
 
+// UpdateUpstreams takes the records of all upstreams and returns what changed. Once it returns, no request is sent to an upstream
+// that is leaving, has left or was replaced: those in flight end normally, and those that wait for a connection go elsewhere.
+func (f *Forwarder) UpdateUpstreams(records []carobbend.UpstreamRecord) Change {
+	f.updateRestrictions(records)
+	c := f.upstreams.Update(records)
+	ids := make([]carobbend.UpstreamID, 0, len(c.Joined)+len(c.Leaving)+len(c.Left))
+	for _, r := range slices.Concat(c.Joined, c.Leaving, c.Left) {
+		ids = append(ids, r.ID)
+	}
+	f.Exchanger.Remove(ids...)
+	return c
+}
+
 // UpdateServices takes the services of a routing before it is used.
 func (f *Forwarder) UpdateServices(services []carobbend.Service) {
 	f.Restrictor.SetServices(f.bootTime(), services)
@@ -88,7 +104,8 @@
 // Restricted returns the number of restricted upstreams by reason, without those in evacuated data centres.
 func (f *Forwarder) Restricted() map[restrictor.Reason]int { return f.Restrictor.Counts(f.bootTime()) }
 
-// permission asks the restrictor about one attempt right before its request is written.
+// permission decides about one attempt right before its request is written, since the attempt may have waited for a connection
+// after its upstream was chosen.
 type permission struct {
 	f       *Forwarder
 	record  carobbend.UpstreamRecord
@@ -103,6 +120,9 @@
 }
 
 func (p *permission) ask() bool {
+	if !p.f.upstreams.takesWork(p.record) {
+		return false
+	}
 	var now time.Time
 	if p.f.Restrictor.Active() {
 		// Otherwise the time doesn't matter.
--- a/forwarder/restrictions_test.go
+++ b/forwarder/restrictions_test.go
@@ -297,7 +297,7 @@
 	tr.UpdateServices(tr.routing.Services)
 	tr.route(order(true))
 	tr.records[0].WarmupLeft = time.Minute
-	tr.UpdateRestrictions(tr.records)
+	tr.updateRestrictions(tr.records)
 	served := func() (n int) {
 		for range calls {
 			resp, _ := tr.call(t, "GET", "/o/1", "")
--- a/forwarder/upstreamset.go
+++ b/forwarder/upstreamset.go
@@ -8,6 +8,7 @@
 	"carobbend.example/carobbend"
 	"carobbend.example/carobbend/exchanger"
 	"carobbend.example/carobbend/limiter"
+	"carobbend.example/carobbend/restrictor"
 )
 
 // UpstreamSet is the current set of upstreams by service. The zero value is empty; it is safe for concurrent use.
@@ -86,6 +87,25 @@
 	return r, ok
 }
 
+// takesWork reports whether the process of an earlier record is still in the set and takes new work.
+func (s *UpstreamSet) takesWork(r carobbend.UpstreamRecord) bool {
+	now, ok := s.Record(r.ID)
+	return ok && !now.Leaving && now.StartedMs == r.StartedMs && now.Address == r.Address && now.Service == r.Service
+}
+
+// in returns the upstreams in data centres.
+func (s *UpstreamSet) in(dcs []restrictor.Evacuation) []carobbend.UpstreamID {
+	var ids []carobbend.UpstreamID
+	if v := s.view.Load(); v != nil {
+		for id, r := range v.records {
+			if slices.ContainsFunc(dcs, func(e restrictor.Evacuation) bool { return e.DataCentre == r.DataCentre }) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
+
 // Size returns the number of upstreams, leaving ones included.
 func (s *UpstreamSet) Size() int {
 	if v := s.view.Load(); v != nil {
