exchanger: reject replies whose status is no status of HTTP

Here the attempt waited for another reply until its deadline, and took one that followed on the connection for the request's own; a status from 600 to 999 was passed on to callers.

Cause: http.ReadResponse accepts any three characters that parse as a number, and everything below 200 was skipped as an interim reply. A status outside of 100 to 599, or 101, now makes the reply malformed: broken, its connection is closed.

--- a/exchanger/reply.go
+++ b/exchanger/reply.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,6 +17,8 @@
 	// maxHeaderBytes bounds the heads of a reply and its interim replies together, maxHeadLines each head.
 	maxHeaderBytes = carobbend.MaxHeaderBytes
 	maxHeadLines   = 256
+	// maxStatus is the first number above those that HTTP defines as statuses.
+	maxStatus = 600
 	// maxInterim is the number of interim replies (1xx) before a reply.
 	maxInterim = 5
 	// maxMismatched is the number of replies to other requests that are skipped before the attempt fails.
@@ -30,7 +33,10 @@
 	defaultMaxReply = 64 << 20
 )
 
-var errMismatchedReply = errors.New("request id mismatch: received only replies to other requests")
+var (
+	errMismatchedReply = errors.New("request id mismatch: received only replies to other requests")
+	errInvalidStatus   = errors.New("the status is not one of a reply")
+)
 
 // Reducer reads a body as a stream and keeps only the parts that are needed.
 type Reducer interface {
@@ -86,6 +92,9 @@
 		if err != nil {
 			return message{}, cmp.Or(c.bounded.exceededErr, err)
 		}
+		if !isStatus(resp.StatusCode) {
+			return message{}, fmt.Errorf("%w: %d", errInvalidStatus, resp.StatusCode)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return message{Response: resp, persistent: !resp.Close && framed}, nil
@@ -94,6 +103,12 @@
 	return message{}, errManyInterim
 }
 
+// isStatus reports whether a status is one that HTTP defines for a reply. http.ReadResponse accepts any number. A switch to another
+// protocol is none, since no request asks for it.
+func isStatus(status int) bool {
+	return status >= http.StatusContinue && status < maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // discard reads and discards the body of a reply to another request.
 func (c *conn) discard(m message) error {
 	c.bounded.startBody(maxMismatchedBytes)
