forwarder: refuse what no upstream was sent when an instance begins to refuse

Cause: whether the instance refuses was asked once, before the body is read. It is now asked after the body too, before an attempt of a request that no upstream has run, and before writing. Requests that wait for a connection are released when refusing begins. Target.Usable is asked under the pool's lock, so that none starts to wait after that. Requests at an upstream go on with retries and hedges.

--- a/cmd/carobbend/crowdstand_test.go
+++ b/cmd/carobbend/crowdstand_test.go
@@ -68,8 +68,18 @@
 		{"metrics", http.MethodGet, "/metrics", "", "carobbend_ready"},
 		{"callers", http.MethodPost, "/o/1", strings.Repeat("b", 64), "64"},
 	})
-	upstream := httptest.NewServer(http.HandlerFunc(serveCrowdUpstream))
-	store := httptest.NewServer(crowdStore(upstream.Listener.Addr().String()))
+	s.startForward(serveCrowdUpstream, nil, "")
+	t.Cleanup(s.check)
+	s.mustServe("at the start")
+	return s
+}
+
+// startForward starts an instance with an upstream, further entries in the store and further settings.
+func (s *crowdStand) startForward(handle http.HandlerFunc, entries map[string]string, more string) {
+	t := s.t
+	t.Helper()
+	upstream := httptest.NewServer(handle)
+	store := httptest.NewServer(crowdStore(upstream.Listener.Addr().String(), entries))
 	s.pickAddresses("callers", "readiness", "addresses", "metrics", "peers")
 	file := filepath.Join(t.TempDir(), "forward.yaml")
 	text := fmt.Sprintf(`instance: edge-1
@@ -78,8 +88,9 @@
 store: %q
 cores: 1
 memory-mb: %d
+%s
 `, s.addresses["callers"], s.addresses["readiness"], s.addresses["addresses"], s.addresses["metrics"], s.addresses["peers"],
-		store.Listener.Addr().String(), crowdMemoryMB)
+		store.Listener.Addr().String(), crowdMemoryMB, more)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -95,9 +106,6 @@
 		s.instance.signal(syscall.SIGKILL)
 		<-s.instance.done
 	})
-	t.Cleanup(s.check)
-	s.mustServe("at the start")
-	return s
 }
 
 // pickAddresses picks a free address for each listener. They have a loopback address of their own, so that no connection of
@@ -121,8 +129,9 @@
 	return startCommand(t, name, exec.Command("sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(n), program}, args...)...))
 }
 
-// crowdStore serves the part of the platform's store that an instance needs: fixed entries, leases and silent watches.
-func crowdStore(upstream string) http.Handler {
+// crowdStore serves the part of the platform's store that an instance needs: fixed entries, leases and silent watches. The route /n/
+// has requests that must not run twice.
+func crowdStore(upstream string, entries map[string]string) http.Handler {
 	type item struct {
 		Key      string `json:"key"`
 		Value    []byte `json:"value"`
@@ -134,8 +143,10 @@
 			"timeout_ms": 20_000, "target_latency_ms": 5000, "max_attempts": 1,
 		}
 	}
+	once := route("n")
+	once["route_type"] = "non_idempotent"
 	config := map[string]any{
-		"version": 1, "routes": []any{route("o")}, "services": []any{map[string]any{"name": "works", "max_connections": 100}},
+		"version": 1, "routes": []any{route("o"), once}, "services": []any{map[string]any{"name": "works", "max_connections": 100}},
 		"limits": map[string]any{
 			"max_header_bytes": crowdHeaderBytes, "max_body_bytes": crowdBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000,
 		},
@@ -144,7 +155,10 @@
 		"upstream": "works", "address": upstream, "zone": "leon", "version": "1", "capacity": 100, "state": "ready",
 		"warmup_left_ms": 0, "sequence": 1, "born": 17,
 	}
-	items := make([]item, 0, 2)
+	items := make([]item, 0, 2+len(entries))
+	for k, v := range entries {
+		items = append(items, item{k, []byte(v), 1})
+	}
 	for k, v := range map[string]any{"op/config": config, "servers/works-1": entry} {
 		b, err := json.Marshal(v)
 		if err != nil {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -52,6 +52,9 @@
 	Address string
 	// MaxConns is the number of connections that this instance may hold to the upstream.
 	MaxConns int
+	// Usable is called before the attempt waits for a connection, and must not block. If it returns false, the attempt fails as
+	// restricted. What it reads must change before ReleaseWaiting is called, so that no attempt waits on. It may be nil.
+	Usable func() bool
 	// Permit is called right before the request is written. If it returns false, nothing is written and the attempt fails as
 	// restricted. It may be nil.
 	Permit func() bool
@@ -125,6 +128,17 @@
 	}
 }
 
+// ReleaseWaiting has all attempts that wait for a connection fail as restricted.
+func (x *Exchanger) ReleaseWaiting() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range x.pools {
+		p.mu.Lock()
+		p.releaseWaiting()
+		p.mu.Unlock()
+	}
+}
+
 // pool returns the pool of a target. An upstream whose address has changed gets a new pool.
 func (x *Exchanger) pool(t Target) *pool {
 	x.mu.Lock()
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -441,7 +441,7 @@
 			t.Errorf("attempt in flight: got %v, want its reply", err)
 		}
 	}
-	if _, err := p.acquire(t.Context(), 2); FailureKindOf(err) != carobbend.FailureBroken || !errors.Is(err, errNotPermitted) {
+	if _, err := p.acquire(t.Context(), 2, nil); FailureKindOf(err) != carobbend.FailureBroken || !errors.Is(err, errNotPermitted) {
 		t.Errorf("permit of a removed pool: got %v, want %v", err, errNotPermitted)
 	}
 }
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -24,7 +24,7 @@
 	mu    sync.Mutex
 	idle  []*conn
 	inUse int
-	// waiters are those of acquire in order. Each gets true with a permit, or false once the pool is retired.
+	// waiters are those of acquire in order. Each gets true with a permit, or false to end its wait.
 	waiters []chan bool
 	retired bool
 }
@@ -46,9 +46,9 @@
 
 func newPool(x *Exchanger, address string) *pool { return &pool{x: x, address: address} }
 
-// acquire takes a permit for one connection. It waits while all permits are in use, until ctx ends or the pool is retired, and
-// reports whether it waited. A retired pool gives no permits.
-func (p *pool) acquire(ctx context.Context, limit int) (waited bool, err error) {
+// acquire takes a permit for one connection. It waits while all permits are in use, until ctx ends or the wait is ended, and
+// reports whether it waited. A retired pool gives no permits, and there is no wait unless usable returns true or is nil.
+func (p *pool) acquire(ctx context.Context, limit int, usable func() bool) (waited bool, err error) {
 	p.mu.Lock()
 	switch {
 	case p.retired:
@@ -58,6 +58,9 @@
 		p.inUse++
 		p.mu.Unlock()
 		return false, nil
+	case usable != nil && !usable():
+		p.mu.Unlock()
+		return false, errNotPermitted
 	}
 	w := make(chan bool, 1)
 	p.waiters = append(p.waiters, w)
@@ -150,16 +153,21 @@
 	p.mu.Lock()
 	idle := p.idle
 	p.idle, p.retired = nil, true
-	for _, w := range p.waiters {
-		w <- false
-	}
-	p.waiters = nil
+	p.releaseWaiting()
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.close()
 	}
 }
 
+// releaseWaiting ends the waits for a permit; p.mu must be held.
+func (p *pool) releaseWaiting() {
+	for _, w := range p.waiters {
+		w <- false
+	}
+	p.waiters = nil
+}
+
 // close may be called more than once.
 func (c *conn) close() {
 	c.closed.Do(func() {
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -14,6 +14,8 @@
 	switch {
 	case q.scatter.Runs() == 0 && q.limitRefusal != nil:
 		q.respond(w, q.limitRefusal)
+	case q.scatter.Runs() == 0 && q.f.refusing.Load():
+		q.respond(w, stopping())
 	case q.scatter.Runs() == 0:
 		after := max(q.f.untilServable(q.services, q.minCoverage()), retryAfter)
 		q.respond(w, &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "no upstream takes the request now", after})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -191,8 +191,12 @@
 // Drain closes each connection after its next answer.
 func (f *Forwarder) Drain() { f.draining.Store(true) }
 
-// Refuse refuses new requests as not run.
-func (f *Forwarder) Refuse() { f.refusing.Store(true) }
+// Refuse refuses new requests as not run, and those that no upstream has been sent yet: another instance can take them, while this
+// one may stop before their answer. Requests in flight at an upstream go on.
+func (f *Forwarder) Refuse() {
+	f.refusing.Store(true)
+	f.Exchanger.ReleaseWaiting()
+}
 
 // Stop answers the requests in flight with a failure at once. It may be called once.
 func (f *Forwarder) Stop() { close(f.stopped) }
@@ -247,6 +251,11 @@
 	retryAfter time.Duration
 }
 
+// stopping returns the refusal of a request that comes too late before the end of the process.
+func stopping() *refusal {
+	return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "the instance is stopping", retryAfter}
+}
+
 // prepare finds the route, reserves memory and reads the request. It returns a refusal if the request can't be served.
 func (f *Forwarder) prepare(q *query, w http.ResponseWriter, r *http.Request) *refusal {
 	t := f.Router.Table()
@@ -259,7 +268,7 @@
 	}
 	q.table = t
 	if f.refusing.Load() {
-		return &refusal{http.StatusServiceUnavailable, OutcomeNotRun, "the instance is stopping", retryAfter}
+		return stopping()
 	}
 	if q.id == "" {
 		return &refusal{status: http.StatusBadRequest, outcome: OutcomeInvalid, reason: "the request has no id"}
@@ -287,6 +296,9 @@
 	if refused != nil {
 		return refused
 	}
+	if f.refusing.Load() {
+		return stopping()
+	}
 	if refused := q.decideAgain(r.Header, host, path); refused != nil {
 		return refused
 	}
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -44,6 +45,8 @@
 	// callerNetworkTime is the network time that the caller counts in addition to the time on this instance.
 	callerNetworkTime time.Duration
 
+	// written is set once an attempt was permitted to be written to an upstream.
+	written      atomic.Bool
 	scatter      *scatterer.Query
 	results      chan result
 	openAttempts map[*exchanger.Attempt]struct{}
@@ -135,6 +138,9 @@
 			return step
 		}
 		if len(step.Launch) > 0 {
+			if q.f.refusing.Load() && q.scatter.Runs() == 0 {
+				return gatherer.Step{Action: gatherer.Fail}
+			}
 			if q.adjustForSuspension() {
 				if late := q.scatter.Next(now); late.Action != gatherer.Wait {
 					return late
@@ -218,7 +224,7 @@
 	}
 	exchange := q.f.Exchanger.Attempt(ctx)
 	q.openAttempts[exchange] = struct{}{}
-	request, permission := q.request, q.f.newPermission(record, &t)
+	request, permission := q.request, q.newPermission(record, &t)
 	go func() {
 		reply, err := exchange.Do(t, request)
 		permission.finished()
--- a/forwarder/restrictions.go
+++ b/forwarder/restrictions.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"carobbend.example/carobbend"
@@ -107,20 +108,27 @@
 // permission decides about one attempt right before its request is written, since the attempt may have waited for a connection
 // after its upstream was chosen.
 type permission struct {
-	f       *Forwarder
+	f *Forwarder
+	// written is that of the query.
+	written *atomic.Bool
 	record  carobbend.UpstreamRecord
 	granted bool
 }
 
 // newPermission returns the permission of an attempt to an upstream and sets it in its target.
-func (f *Forwarder) newPermission(u carobbend.UpstreamRecord, t *exchanger.Target) *permission {
-	p := &permission{f: f, record: u}
-	t.Permit, t.Observe = p.ask, p.observe
+func (q *query) newPermission(u carobbend.UpstreamRecord, t *exchanger.Target) *permission {
+	p := &permission{f: q.f, written: &q.written, record: u}
+	t.Usable, t.Permit, t.Observe = p.mayWait, p.ask, p.observe
 	return p
 }
 
+// mayWait reports whether the request may still be written, as far as neither the time nor other requests decide.
+func (p *permission) mayWait() bool {
+	return p.f.upstreams.takesWork(p.record) && (!p.f.refusing.Load() || p.written.Load())
+}
+
 func (p *permission) ask() bool {
-	if !p.f.upstreams.takesWork(p.record) {
+	if !p.mayWait() {
 		return false
 	}
 	var now time.Time
@@ -129,6 +137,9 @@
 		now = p.f.bootTime()
 	}
 	p.granted = p.f.Restrictor.Permit(now, p.record) == restrictor.None
+	if p.granted {
+		p.written.Store(true)
+	}
 	return p.granted
 }
 
--- a/forwarder/withdrawn_test.go
+++ b/forwarder/withdrawn_test.go
@@ -28,7 +28,7 @@
 	}},
 }
 
-// waitForConnection occupies the only connection to a1 until the returned function is called, and starts a call that waits for it.
+// waitForConnection occupies the only connection to a1, which is in z1, until the returned function is called, and starts a call that waits for it.
 func (tr *tier) waitForConnection(t *testing.T) (waiting func() answer, release func()) {
 	t.Helper()
 	// The number of instances is read for each attempt, after its upstream was chosen.
@@ -43,6 +43,7 @@
 		<-freed
 		proof(w, r)
 	})
+	tr.place("a1", "z1")
 	tr.routing.Services = []carobbend.Service{{Name: "a", MaxConns: 1}}
 	tr.route(order(false))
 	var calls sync.WaitGroup
@@ -114,7 +115,6 @@
 func TestEvacuationReleasesWaitingRequest(t *testing.T) {
 	tr := newTier(t)
 	waiting, _ := tr.waitForConnection(t)
-	tr.place("a1", "z1")
 	tr.upstream(t, "a", "a2", "", proof)
 	tr.place("a2", "z2")
 	tr.SetEvacuated([]carobbend.DataCentre{"z1"})
