storeclient: leave out list entries that can't be decoded, one by one

One entry of another writer with a field of another type, such as a port of 1e30, made each reading of the instance list fail, so that carobbend serve no longer noticed instances that join and upstreams that are drained. A port out of range was handed to callers.

Cause: the list was decoded as a whole and addresses were put together unchecked. Entries are now decoded one by one; one that can't be is left out with a log line, and an address that can't be connected to is empty.

--- a/storeclient/list.go
+++ b/storeclient/list.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/logger"
 )
 
 // Keys of the Meta of a registered instance.
@@ -39,11 +41,14 @@
 type List struct {
 	t       *transport
 	service string
+	log     logger.Logger
+	// ignored holds the entries that were logged as ignored.
+	ignored logger.Once
 }
 
 // NewList returns a client of the list at a base address for one service. It opens no connection.
 func NewList(baseURL, service string, opts ...Option) *List {
-	return &List{t: newTransport(baseURL, opts), service: service}
+	return &List{t: newTransport(baseURL, opts), service: service, log: logger.New("storeclient")}
 }
 
 // Close closes the idle connections.
@@ -68,18 +73,26 @@
 	}
 }
 
-// Instances returns the registered instances in the order of the list, with leaving ones marked.
+// Instances returns the registered instances in the order of the list, with leaving ones marked. Entries that can't be decoded, such
+// as those of another writer, are left out, and an address that can't be connected to is empty.
 func (l *List) Instances(ctx context.Context) ([]Registration, error) {
 	rep, err := l.call(ctx, "list", l.service, http.MethodGet, healthPath+url.PathEscape(l.service), nil, nil)
 	if err != nil {
 		return nil, err
 	}
-	var entries []listHealth
+	var entries []json.RawMessage
 	if err := json.Unmarshal(rep.body, &entries); err != nil {
 		return nil, storeError("list", l.service, carobbend.StoreUnavailable, fmt.Errorf("reply: expected a list of services: %w", err))
 	}
 	out := make([]Registration, 0, len(entries))
-	for _, e := range entries {
+	for _, raw := range entries {
+		var e listHealth
+		if err := json.Unmarshal(raw, &e); err != nil {
+			if l.ignored.First(e.Service.ID + " " + err.Error()) {
+				l.log.Info("instance list entry ignored", "service", l.service, "id", e.Service.ID, "reason", err.Error())
+			}
+			continue
+		}
 		r := registration(e.Service)
 		for _, c := range e.Checks {
 			if strings.HasPrefix(c.CheckID, maintenancePrefix) && c.Status == "critical" {
@@ -97,13 +110,22 @@
 			Name:          s.ID,
 			Incarnation:   s.Meta[MetaIncarnation],
 			DataCentre:    carobbend.DataCentre(s.Meta[MetaDataCentre]),
-			CallerAddress: net.JoinHostPort(s.Address, strconv.Itoa(s.Port)),
+			CallerAddress: callerAddress(s),
 			PeerAddress:   s.Meta[MetaPeerAddress],
 		},
 		AdminAddress: s.Meta[MetaAdminAddress],
 	}
 }
 
+// callerAddress returns the address and port of an entry, or "" if they are none.
+func callerAddress(s listService) string {
+	address := net.JoinHostPort(s.Address, strconv.Itoa(s.Port))
+	if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
+		return ""
+	}
+	return address
+}
+
 // Register adds or replaces an instance.
 func (l *List) Register(ctx context.Context, r Registration) error {
 	in := r.Instance
--- a/storeclient/storeclient_test.go
+++ b/storeclient/storeclient_test.go
@@ -332,3 +332,41 @@
 		}
 	}
 }
+
+// Guards against one entry of another writer that makes the whole list unreadable, or that names an address which callers or
+// instances can't connect to.
+func TestOddListEntries(t *testing.T) {
+	const usable = `{"Service":{"ID":"a","Address":"127.0.0.1","Port":1},"Checks":[{"CheckID":"_service_maintenance:a","Status":"critical"}]}`
+	deep := strings.Repeat(`{"a":`, 9000) + "1" + strings.Repeat("}", 9000)
+	for _, c := range []struct {
+		entry string
+		// listed says that the entry is in the list, without an address.
+		listed bool
+	}{
+		{`{"Service":{"ID":"b","Address":"127.0.0.1","Port":1e30}}`, false},
+		{`{"Service":{"ID":"b","Address":"127.0.0.1","Port":99999999999999999999}}`, false},
+		{`{"Service":{"ID":"b","Address":"127.0.0.1","Port":"1"}}`, false},
+		{`{"Service":{"ID":"b","Address":"127.0.0.1","Port":1,"Meta":` + deep + `}}`, false},
+		{`{"Service":{"ID":"b","Address":"127.0.0.1","Port":1},"Checks":"passing"}`, false},
+		{`[]`, false},
+		{`7`, false},
+		{`{"Service":{"ID":"b","Address":"127.0.0.1","Port":70000}}`, true},
+		{`{"Service":{"ID":"b","Address":"127.0.0.1","Port":-1}}`, true},
+		{`{"Service":{"ID":"b","Address":"127.0.0.1","Port":0}}`, true},
+		{`{"Service":{"ID":"b","Address":"nowhere","Port":1}}`, true},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "["+c.entry+","+usable+"]")
+		}))
+		l := NewList(s.URL, "carobbend", WithTimeout(longTimeout))
+		want := []Registration{{Instance: carobbend.Instance{Name: "a", CallerAddress: "127.0.0.1:1", Leaving: true}}}
+		if c.listed {
+			want = append([]Registration{{Instance: carobbend.Instance{Name: "b"}}}, want...)
+		}
+		if got, err := l.Instances(t.Context()); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%.80s: got %v, %v, want %v", c.entry, got, err, want)
+		}
+		l.Close()
+		s.Close()
+	}
+}
