forwarder: answer callers that end their sending direction, never by default

Cause: net/http cancels the request's context then; the forwarder took the caller for gone and returned without an answer, which the server completes with its default status. Such a caller is now answered 503 if nothing ran, otherwise 502, and a request that ends without an answer is aborted in one place.

Before the fix TestHalfClosedCallerGetsNoSuccess: /o/1: got 200, want 502 at the end of the connection; the same for /s/1.

--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -31,6 +31,17 @@
 	}
 }
 
+// callerLeft answers a caller that ended its sending direction. It may have closed the connection, which looks the same, or may
+// still read.
+func (q *query) callerLeft(w http.ResponseWriter) {
+	refused := &refusal{http.StatusBadGateway, OutcomeCallerLeft, "the caller left, attempts may have run", 0}
+	if q.scatter.Runs() == 0 {
+		refused = &refusal{http.StatusServiceUnavailable, OutcomeCallerLeft, "the caller left before the request ran", retryAfter}
+	}
+	w.Header().Set("Connection", "close")
+	q.respond(w, refused)
+}
+
 // mayRelay reports whether a failure reply may be passed on unchanged. To a caller, some statuses guarantee that the request
 // didn't run, and it repeats a request that must not run twice. An upstream that doesn't state this guarantees nothing.
 func (q *query) mayRelay(reply *exchanger.Reply) bool {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -233,7 +233,8 @@
 			f.Recorder.AccountAnswered(q.account.Name, q.outcome)
 		}
 	}
-	if q.truncated {
+	// The server would complete a request without an answer by one with status 200.
+	if q.truncated || !q.answered {
 		if err := resetOnClose(r.Context()); err != nil {
 			f.log.log.Error(err, "caller connection can't be reset", "id", q.id)
 		}
@@ -361,8 +362,9 @@
 	return r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
 }
 
-// header returns the header of the answer. It has the connection closed after the answer if the instance is draining.
+// header begins an answer and returns its header. It has the connection closed after the answer if the instance is draining.
 func (q *query) header(w http.ResponseWriter) http.Header {
+	q.answered = true
 	h := w.Header()
 	if q.f.draining.Load() {
 		h.Set("Connection", "close")
--- a/forwarder/query.go
+++ b/forwarder/query.go
@@ -54,6 +54,8 @@
 	// upstreamFailure is the last complete failure reply of an upstream.
 	upstreamFailure *exchanger.Reply
 
+	// answered says that an answer was begun.
+	answered bool
 	// truncated says that the answer ended early and must not look complete.
 	truncated bool
 
@@ -119,7 +121,7 @@
 	}
 	switch step := q.run(ctx); {
 	case ctx.Err() != nil:
-		q.outcome, q.reason = OutcomeCallerLeft, "the caller left"
+		q.callerLeft(w)
 	case step.Action == gatherer.Answer:
 		q.answer(ctx, w)
 	default:
