forwarder, acceptor: answer and close connections whose body stalls

Causes: the read deadline of a body was cleared when it had passed, and the server reads the rest of a body before it writes an answer; and the guard took a failed read for the end of the body, so that the connection was in the phase without a limit that keeps its place. A body in chunks or awaited with Expect got 400 in place of 408, since a read that times out cancels the request's context. The deadline now stays, the connection ends after the 408, only io.EOF ends a body for the guard, and a time-out is 408 whatever the context says.

--- a/acceptor/guard.go
+++ b/acceptor/guard.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -316,7 +317,8 @@
 // Read implements io.Reader.
 func (b *guardedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !b.ended.Swap(true) {
+	// After any other error the server reads on when the handler returns.
+	if errors.Is(err, io.EOF) && !b.ended.Swap(true) {
 		b.entry.Enter(limiter.PhaseServe)
 	}
 	return n, err
--- a/acceptor/guard_test.go
+++ b/acceptor/guard_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -32,11 +34,16 @@
 
 // serveGuarded serves the length of each body until the end of the test; n is the greatest number of connections.
 func serveGuarded(tb testing.TB, n int) (string, *limiter.ConnTable) {
+	tb.Helper()
+	return serveGuardedBy(tb, n, serveLength)
+}
+
+func serveGuardedBy(tb testing.TB, n int, handler http.HandlerFunc) (string, *limiter.ConnTable) {
 	tb.Helper()
 	table, group := newTestTable(n)
 	g := NewGuard(table)
 	l := listen(tb)
-	srv := g.Server(&http.Server{Handler: http.HandlerFunc(serveLength)})
+	srv := g.Server(&http.Server{Handler: handler})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	go func() { ended <- g.Run(ctx) }()
@@ -191,3 +198,51 @@
 		run(b, address)
 	})
 }
+
+// TestFailedBodyKeepsNoPlace guards against a connection that the server reads on after its handler failed to read the body: it has no
+// time limit of its own then, and must neither stay open nor keep its place from other callers.
+func TestFailedBodyKeepsNoPlace(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		headerTimeout time.Duration
+		others        bool
+	}{
+		{"closed after a while", 50 * time.Millisecond, false},
+		{"gives its place to another", time.Minute, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address, table := serveGuardedBy(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				conn := http.NewResponseController(w)
+				_ = conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+				_, err := io.ReadAll(r.Body)
+				_ = conn.SetReadDeadline(time.Time{})
+				if err != nil {
+					w.WriteHeader(http.StatusRequestTimeout)
+				}
+			})
+			table.SetLimits(carobbend.CallerLimits{HeaderBytes: 16 << 10, HeaderTimeout: c.headerTimeout, IdleTimeout: time.Minute})
+			nc, err := net.Dial("tcp4", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = nc.Close() }()
+			if _, err := io.WriteString(nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n123456789"); err != nil {
+				t.Fatal(err)
+			}
+			if c.others {
+				client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+				resp, err := client.Get("http://" + address)
+				if err != nil {
+					t.Fatalf("other caller: got %v, want an answer", err)
+				}
+				_ = resp.Body.Close()
+			}
+			if err := nc.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, nc); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection is still open, want its end")
+			}
+		})
+	}
+}
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -44,14 +45,21 @@
 		return nil, noMemory()
 	}
 	defer part.Release()
+	conn := http.NewResponseController(w)
 	// Not every kind of connection supports a deadline; the server's own then applies.
-	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	_ = conn.SetReadDeadline(deadline)
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, int64(limit))
 	}
 	b, err := readReserved(body, r.ContentLength, reservations{reservation, part})
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if isTimeout(err) {
+		// The server reads on after the handler. Without the deadline, it would wait for the rest of the body before it writes the
+		// refusal, and then before it closes the connection.
+		w.Header().Set("Connection", "close")
+		return nil, &refusal{http.StatusRequestTimeout, OutcomeNotRun, "the body didn't arrive in time", 0}
+	}
+	_ = conn.SetReadDeadline(time.Time{})
 	var long *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -67,6 +75,13 @@
 	}
 }
 
+// isTimeout reports whether a read ended at its deadline. The server cancels the request's context then, as it does when the caller
+// leaves.
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
 // readReserved reads a body of n bytes, or of unknown length if n is -1, and reserves the memory before it reads.
 func readReserved(r io.Reader, n int64, memory reservations) ([]byte, error) {
 	if n >= 0 {
--- a/forwarder/callerleft_test.go
+++ b/forwarder/callerleft_test.go
@@ -60,4 +60,3 @@
 		}
 	}
 }
-
