retainer: drop what is kept by names that the routing no longer has

Cause: histograms of the hedger, mean latencies, admission control, counts of the retry budget and metrics were kept by name for good. They lie in retainer.Map now, which drops names with the routing and is bounded in number; names beyond the bound share an entry. The counts of a service stay while they may bear on the current window. Histograms are created with the 50th observation, when they are first used; 500 routes have metrics of their own.

--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -253,6 +253,7 @@
 		x.log.Info("routes limit their requests to different regions, which is not enforced", "version", r.Version)
 	}
 	if ok {
+		x.forwarder.RetainNames(r)
 		x.conns.SetLimits(r.Limits)
 		x.allotments.SetAccounts(r.Accounts)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -124,7 +124,7 @@
 	// RetryBudget bounds hedges and retries by service.
 	RetryBudget *hedger.WindowBudget
 	// Hedger determines hedge delays from the latency of attempts by route.
-	Hedger carobbend.Hedger
+	Hedger carobbend.RetainingHedger
 	// Memory bounds the memory that the requests in flight hold; nil means no bound.
 	Memory *limiter.Bytes
 	// Arriving bounds the part of Memory that is held for bodies which are still arriving; nil means no bound.
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -22,6 +22,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/retainer"
 )
 
 const (
@@ -40,7 +41,9 @@
 	// refreshAfter is the number of observations after which the quantiles are recomputed.
 	refreshAfter = 50
 	// histMax is the maximum latency recorded; greater ones are clamped to it.
-	histMax    = 10 * time.Second
+	histMax = 10 * time.Second
+	// maxIndexes bounds the indexes with a delay of their own, whose histograms take some 45 KB each.
+	maxIndexes = 256
 	histDigits = 2
 )
 
@@ -59,13 +62,15 @@
 	budget   *Budget
 
 	mu      sync.Mutex
-	indexes map[string]*latencies
+	indexes retainer.Map[string, latencies]
 }
 
-var _ carobbend.Hedger = (*Hedger)(nil)
+var _ carobbend.RetainingHedger = (*Hedger)(nil)
 
 // latencies holds the recent latencies of one index, in microseconds.
 type latencies struct {
+	// early holds the first observations. The histograms, which take some 45 KB, are created once there are enough of them.
+	early  []int64
 	recent *hdrhistogram.WindowedHistogram
 	// inWindow and sinceRefresh count observations.
 	inWindow         int
@@ -77,7 +82,7 @@
 
 // New returns a Hedger without observations.
 func New(opts ...Option) *Hedger {
-	h := &Hedger{quantile: defaultQuantile, indexes: map[string]*latencies{}}
+	h := &Hedger{quantile: defaultQuantile, indexes: retainer.New[string, latencies](maxIndexes)}
 	for _, o := range opts {
 		o(h)
 	}
@@ -87,7 +92,7 @@
 // Delay returns the age at which a shard request of the index may be hedged.
 func (h *Hedger) Delay(index string) time.Duration {
 	h.mu.Lock()
-	l := h.indexes[index]
+	l := h.indexes.Get(index)
 	if l == nil || l.total < minObservations {
 		h.mu.Unlock()
 		return defaultDelay
@@ -105,12 +110,31 @@
 func (h *Hedger) Observe(index string, latency time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := h.indexes[index]
-	if l == nil {
-		l = &latencies{recent: hdrhistogram.NewWindowed(windows, 1, histMax.Microseconds(), histDigits)}
-		h.indexes[index] = l
+	h.indexes.Ensure(index).observe(min(max(latency.Microseconds(), 1), histMax.Microseconds()), h.quantile)
+}
+
+// Retain drops the observations of indexes for which keep returns false.
+func (h *Hedger) Retain(keep func(index string) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.indexes.Retain(func(index string, _ *latencies) bool { return keep(index) })
+}
+
+// observe records a latency in microseconds.
+func (l *latencies) observe(v int64, quantile float64) {
+	if l.recent == nil {
+		l.early = append(l.early, v)
+		if len(l.early) < minObservations {
+			return
+		}
+		l.recent = hdrhistogram.NewWindowed(windows, 1, histMax.Microseconds(), histDigits)
+		early := l.early
+		l.early = nil
+		for _, v := range early {
+			l.observe(v, quantile)
+		}
+		return
 	}
-	v := min(max(latency.Microseconds(), 1), histMax.Microseconds())
 	if err := l.recent.Current.RecordValue(v); err != nil {
 		return
 	}
@@ -121,7 +145,7 @@
 		l.inWindow = 0
 	}
 	if l.sinceRefresh >= refreshAfter {
-		l.refresh(h.quantile)
+		l.refresh(quantile)
 	}
 }
 
--- a/hedger/windowbudget.go
+++ b/hedger/windowbudget.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"carobbend.example/carobbend/retainer"
 )
 
 // cells is the number of parts of a window that are counted separately. One more is kept, so that extra requests count until
@@ -37,7 +39,7 @@
 	// earlier holds the smaller slacks that still bound the current one.
 	earlier  []earlierSlack
 	started  time.Time
-	services map[string]*usage
+	services retainer.Map[string, usage]
 }
 
 // earlierSlack is a previous slack that bounds later ones until a given time.
@@ -142,18 +144,30 @@
 	return b.window
 }
 
+// Retain drops the counts of services for which keep returns false. Those of the last window are kept in any case: a service that
+// returns within it must not get another slack.
+func (b *WindowBudget) Retain(now time.Time, keep func(service string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	oldest := b.cell(now) - cells
+	b.services.Retain(func(service string, u *usage) bool { return keep(service) || u.current >= oldest })
+}
+
+// cell returns the number of the cell of a time.
+func (b *WindowBudget) cell(now time.Time) int64 {
+	if b.started.IsZero() {
+		return 0
+	}
+	return max(int64(now.Sub(b.started)/(b.windowLength()/cells)), 0)
+}
+
 // usage returns the counts of a service after clearing its expired cells.
 func (b *WindowBudget) usage(now time.Time, service string) *usage {
 	if b.started.IsZero() {
 		b.started = now
-		b.services = map[string]*usage{}
-	}
-	cell := max(int64(now.Sub(b.started)/(b.windowLength()/cells)), 0)
-	u := b.services[service]
-	if u == nil {
-		u = &usage{current: cell}
-		b.services[service] = u
 	}
+	cell := b.cell(now)
+	u := b.services.Ensure(service)
 	for steps := 0; u.current < cell && steps <= cells; steps++ {
 		u.current++
 		i := u.current % (cells + 1)
--- a/meter/forward.go
+++ b/meter/forward.go
@@ -50,6 +50,7 @@
 	latency  metric.Float64Histogram
 	attempts metric.Int64Counter
 	accounts accounts
+	routes   routeNames
 	byRoute  sync.Map
 	byKind   sync.Map
 }
@@ -111,6 +112,33 @@
 // maxScrapes bounds the replies with metrics that are made or sent at a time; each is held whole.
 const maxScrapes = 4
 
+// maxRoutes is the number of routes with metrics of their own: those that had requests first. Routings may rename their routes without end,
+// and a metric can't be dropped without a counter that decreases.
+const maxRoutes = 500
+
+// routeNames holds the routes with metrics of their own.
+type routeNames struct {
+	mu   sync.Mutex
+	seen map[string]struct{}
+}
+
+// label returns the name under which a route appears.
+func (n *routeNames) label(route string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.seen[route]; ok {
+		return route
+	}
+	if len(n.seen) >= maxRoutes {
+		return otherLabel
+	}
+	if n.seen == nil {
+		n.seen = map[string]struct{}{}
+	}
+	n.seen[route] = struct{}{}
+	return route
+}
+
 type routeKey struct {
 	route   string
 	outcome forwarder.Outcome
@@ -123,6 +151,7 @@
 
 // Answered implements forwarder.Recorder.
 func (m *Forward) Answered(route string, outcome forwarder.Outcome, latency time.Duration) {
+	route = m.routes.label(route)
 	o := cached(&m.byRoute, routeKey{route, outcome}, func() *recordOptions {
 		return optionsOf(attribute.String("route", route), attribute.String("outcome", string(outcome)))
 	})
--- a/meter/forward_test.go
+++ b/meter/forward_test.go
@@ -87,3 +87,33 @@
 		t.Errorf("got %d accounts counted, want at most %d", got, maxCounted+1)
 	}
 }
+
+// TestRoutesAreBounded guards against metrics that grow with the number of routes that had requests.
+func TestRoutesAreBounded(t *testing.T) {
+	one := func() int64 { return 1 }
+	m, err := NewForward(ForwardSources{
+		StoreCalls: one, RoutingVersion: one, Upstreams: one, Connections: one, Opened: one, InFlight: one, Members: one,
+		DroppedLines: one, Ready: func() bool { return true }, Reports: func() reporter.Counts { return reporter.Counts{} },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 * maxRoutes {
+		m.Answered(fmt.Sprint("r", i), forwarder.OutcomeComplete, time.Millisecond)
+	}
+	m.Answered("r0", forwarder.OutcomeComplete, time.Millisecond)
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	got := strings.Count(w.Body.String(), "carobbend_requests_total{")
+	if want := maxRoutes + 1; got != want {
+		t.Errorf("metrics of routes: got %d, want %d", got, want)
+	}
+	for _, want := range []string{
+		`carobbend_requests_total{outcome="whole",route="r0"} 2`,
+		fmt.Sprintf(`carobbend_requests_total{outcome="whole",route="(other)"} %d`, maxRoutes),
+	} {
+		if !strings.Contains(w.Body.String(), want) {
+			t.Errorf("metrics lack %s", want)
+		}
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -23,6 +23,13 @@
 	Observe(index string, latency time.Duration)
 }
 
+// RetainingHedger is a Hedger for indexes that come and go.
+type RetainingHedger interface {
+	Hedger
+	// Retain drops the observations of indexes for which keep returns false.
+	Retain(keep func(index string) bool)
+}
+
 // Budget bounds the extra load: hedges and retries in percent of primary shard requests.
 type Budget interface {
 	// Deposit adds percent of n primary shard requests to the budget; percent is the rule in force.
--- a/scatterer/admission.go
+++ b/scatterer/admission.go
@@ -7,6 +7,7 @@
 
 	"carobbend.example/carobbend/balancer"
 	"carobbend.example/carobbend/gatherer"
+	"carobbend.example/carobbend/retainer"
 	"carobbend.example/carobbend/router"
 )
 
@@ -74,19 +75,18 @@
 // admissionControls holds the admission control of each route. The zero value is empty.
 type admissionControls struct {
 	mu     sync.Mutex
-	routes map[string]*gatherer.AdmissionControl
+	routes retainer.Map[string, gatherer.AdmissionControl]
 }
 
 func (g *admissionControls) forRoute(r *router.Route) *gatherer.AdmissionControl {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	control := g.routes[r.Name]
-	if control == nil {
-		if g.routes == nil {
-			g.routes = map[string]*gatherer.AdmissionControl{}
-		}
-		control = &gatherer.AdmissionControl{}
-		g.routes[r.Name] = control
-	}
-	return control
+	return g.routes.Ensure(r.Name)
+}
+
+// retain drops the admission control of routes for which keep returns false.
+func (g *admissionControls) retain(keep func(route string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.routes.Retain(func(route string, _ *gatherer.AdmissionControl) bool { return keep(route) })
 }
--- a/scatterer/latencies.go
+++ b/scatterer/latencies.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"carobbend.example/carobbend/retainer"
 	"carobbend.example/carobbend/router"
 )
 
@@ -22,7 +23,7 @@
 // upstream comparable. The zero value is empty.
 type latencies struct {
 	mu     sync.Mutex
-	routes map[string]*latencyMean
+	routes retainer.Map[string, latencyMean]
 	// shards is the mean latency over the attempts of all routes with shards; 0 means that none was observed.
 	shards float64
 }
@@ -36,7 +37,7 @@
 func (l *latencies) routeMean(r *router.Route) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if u := l.routes[r.Name]; u != nil && u.n > 0 {
+	if u := l.routes.Get(r.Name); u != nil && u.n > 0 {
 		return time.Duration(u.mean)
 	}
 	if r.Target > 0 {
@@ -55,18 +56,18 @@
 	return min(time.Duration(l.shards), maxShardMean)
 }
 
+// retain drops the means of routes for which keep returns false.
+func (l *latencies) retain(keep func(route string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.routes.Retain(func(route string, _ *latencyMean) bool { return keep(route) })
+}
+
 // observe records the latency of a successful attempt.
 func (l *latencies) observe(r *router.Route, latency time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.routes == nil {
-		l.routes = map[string]*latencyMean{}
-	}
-	u := l.routes[r.Name]
-	if u == nil {
-		u = &latencyMean{}
-		l.routes[r.Name] = u
-	}
+	u := l.routes.Ensure(r.Name)
 	u.n++
 	if len(r.Shards) > 0 {
 		if l.shards == 0 {
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -63,6 +63,12 @@
 // New returns a Scatterer without observations.
 func New(cfg Config) *Scatterer { return &Scatterer{cfg: cfg} }
 
+// Retain drops what was observed of routes for which keep returns false.
+func (s *Scatterer) Retain(keep func(route string) bool) {
+	s.latencies.retain(keep)
+	s.admission.retain(keep)
+}
+
 // Timing holds the times of a query.
 type Timing struct {
 	Began, Deadline time.Time
