hedger: bound the histograms rather than the indexes with first observations

Reading the change again: with a bound of 256 indexes, routes that get a single request, such as 1,400 that a routing adds, would take the entries, and busy routes that come later would share one.

TestHistogramsAreBounded and TestRetainKeepsTheWindow (a service that leaves the routing and returns gets no second slack in one window) pass, with the tests of hedger, scatterer, forwarder, exchanger and meter.

--- a/exchanger/attempt.go
+++ b/exchanger/attempt.go
@@ -150,7 +150,8 @@
 // Do sends the request and returns the reply. If its Remainder isn't nil, the caller reads it to the end or closes it. An error
 // is an *Error whose kind is one of: not-sent, no byte was written; restricted, the same, since Target.Usable or
 // Target.Permit denied it, or the upstream was removed; canceled, Cancel was called; deadline, the request's deadline passed;
-// identity, only replies to other requests arrived; oversized, the reply exceeded a bound; broken, the connection failed, or the reply was incomplete or malformed.
+// identity, only replies to other requests arrived; oversized, the reply exceeded a bound; broken, the connection failed, or the
+// reply was incomplete or malformed.
 func (a *Attempt) Do(t Target, r *Request) (*Reply, error) {
 	reply, err := a.do(t, r)
 	if err != nil || reply.Remainder == nil {
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -41,10 +41,10 @@
 	// refreshAfter is the number of observations after which the quantiles are recomputed.
 	refreshAfter = 50
 	// histMax is the maximum latency recorded; greater ones are clamped to it.
-	histMax = 10 * time.Second
-	// maxIndexes bounds the indexes with a delay of their own, whose histograms take some 45 KB each.
-	maxIndexes = 256
+	histMax    = 10 * time.Second
 	histDigits = 2
+	// maxHistograms bounds the indexes with a delay of their own, whose histograms take some 45 KB each.
+	maxHistograms = 256
 )
 
 // Option configures a Hedger.
@@ -61,28 +61,33 @@
 	quantile float64
 	budget   *Budget
 
-	mu      sync.Mutex
-	indexes retainer.Map[string, latencies]
+	mu sync.Mutex
+	// first holds the first observations of each index, and recent the histograms of those that have enough of them.
+	first  retainer.Map[string, firstLatencies]
+	recent retainer.Map[string, latencies]
 }
 
 var _ carobbend.RetainingHedger = (*Hedger)(nil)
 
+// firstLatencies holds the first latencies of one index in microseconds, until there are minObservations. n counts them.
+type firstLatencies struct {
+	n      int
+	values []int64
+}
+
 // latencies holds the recent latencies of one index, in microseconds.
 type latencies struct {
-	// early holds the first observations. The histograms, which take some 45 KB, are created once there are enough of them.
-	early  []int64
-	recent *hdrhistogram.WindowedHistogram
+	windowed *hdrhistogram.WindowedHistogram
 	// inWindow and sinceRefresh count observations.
 	inWindow         int
 	sinceRefresh     int
-	total            int
 	quantileDelay    time.Duration
 	emptyBudgetDelay time.Duration
 }
 
 // New returns a Hedger without observations.
 func New(opts ...Option) *Hedger {
-	h := &Hedger{quantile: defaultQuantile, indexes: retainer.New[string, latencies](maxIndexes)}
+	h := &Hedger{quantile: defaultQuantile, recent: retainer.New[string, latencies](maxHistograms)}
 	for _, o := range opts {
 		o(h)
 	}
@@ -92,8 +97,8 @@
 // Delay returns the age at which a shard request of the index may be hedged.
 func (h *Hedger) Delay(index string) time.Duration {
 	h.mu.Lock()
-	l := h.indexes.Get(index)
-	if l == nil || l.total < minObservations {
+	first, l := h.first.Get(index), h.recent.Get(index)
+	if first == nil || first.n < minObservations || l == nil {
 		h.mu.Unlock()
 		return defaultDelay
 	}
@@ -110,38 +115,39 @@
 func (h *Hedger) Observe(index string, latency time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.indexes.Ensure(index).observe(min(max(latency.Microseconds(), 1), histMax.Microseconds()), h.quantile)
+	values := []int64{min(max(latency.Microseconds(), 1), histMax.Microseconds())}
+	if first := h.first.Ensure(index); first.n < minObservations {
+		first.values = append(first.values, values...)
+		if first.n++; first.n < minObservations {
+			return
+		}
+		values, first.values = first.values, nil
+	}
+	l := h.recent.Ensure(index)
+	for _, v := range values {
+		l.observe(v, h.quantile)
+	}
 }
 
 // Retain drops the observations of indexes for which keep returns false.
 func (h *Hedger) Retain(keep func(index string) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.indexes.Retain(func(index string, _ *latencies) bool { return keep(index) })
+	h.first.Retain(func(index string, _ *firstLatencies) bool { return keep(index) })
+	h.recent.Retain(func(index string, _ *latencies) bool { return keep(index) })
 }
 
 // observe records a latency in microseconds.
 func (l *latencies) observe(v int64, quantile float64) {
-	if l.recent == nil {
-		l.early = append(l.early, v)
-		if len(l.early) < minObservations {
-			return
-		}
-		l.recent = hdrhistogram.NewWindowed(windows, 1, histMax.Microseconds(), histDigits)
-		early := l.early
-		l.early = nil
-		for _, v := range early {
-			l.observe(v, quantile)
-		}
-		return
+	if l.windowed == nil {
+		l.windowed = hdrhistogram.NewWindowed(windows, 1, histMax.Microseconds(), histDigits)
 	}
-	if err := l.recent.Current.RecordValue(v); err != nil {
+	if err := l.windowed.Current.RecordValue(v); err != nil {
 		return
 	}
-	l.total++
 	l.sinceRefresh++
 	if l.inWindow++; l.inWindow >= perWindow {
-		l.recent.Rotate()
+		l.windowed.Rotate()
 		l.inWindow = 0
 	}
 	if l.sinceRefresh >= refreshAfter {
@@ -151,7 +157,7 @@
 
 func (l *latencies) refresh(quantile float64) {
 	l.sinceRefresh = 0
-	m := l.recent.Merge()
+	m := l.windowed.Merge()
 	l.quantileDelay = time.Duration(m.ValueAtQuantile(quantile)) * time.Microsecond
 	l.emptyBudgetDelay = max(time.Duration(m.ValueAtQuantile(emptyBudgetQuantile))*time.Microsecond, l.quantileDelay)
 }
--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -1,6 +1,7 @@
 package hedger
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -114,3 +115,29 @@
 		t.Error("withdrawal after a rule of 0%: got true, want false")
 	}
 }
+
+// Guards against histograms for each index that was ever observed, and against a delay that is lost for those beyond the bound.
+func TestHistogramsAreBounded(t *testing.T) {
+	h := New()
+	for i := range 2 * maxHistograms {
+		for range minObservations {
+			h.Observe(strconv.Itoa(i), 30*time.Millisecond)
+		}
+	}
+	h.Observe("once", 30*time.Millisecond)
+	if got := h.recent.Len(); got != maxHistograms {
+		t.Errorf("histograms: got %d, want %d", got, maxHistograms)
+	}
+	if got, want := h.Delay("once"), defaultDelay; got != want {
+		t.Errorf("delay of an index observed once: got %v, want %v", got, want)
+	}
+	for _, index := range []string{"0", strconv.Itoa(2*maxHistograms - 1)} {
+		if got := h.Delay(index); got < 29*time.Millisecond || got > 31*time.Millisecond {
+			t.Errorf("delay of %s: got %v, want 30ms", index, got)
+		}
+	}
+	h.Retain(func(index string) bool { return index == "0" })
+	if got := h.recent.Len() + h.first.Len(); got != 2 {
+		t.Errorf("entries of one index: got %d, want 2", got)
+	}
+}
--- a/hedger/windowbudget_test.go
+++ b/hedger/windowbudget_test.go
@@ -123,3 +123,33 @@
 		}
 	})
 }
+
+// Guards against a second slack within one window for a service that left the routing and returned, and against counts that are kept
+// for services which are gone.
+func TestRetainKeepsTheWindow(t *testing.T) {
+	const window = 10 * time.Second
+	b := NewWindowBudget(window)
+	b.Set(epoch, 0, 5)
+	at := func(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+	none := func(string) bool { return false }
+	withdraw := func(s float64) (n int) {
+		for b.TryWithdraw(at(s), "s") {
+			n++
+		}
+		return n
+	}
+	if got := withdraw(20); got != 5 {
+		t.Fatalf("first: got %d, want 5", got)
+	}
+	b.Retain(at(29), none)
+	if got := withdraw(29); got != 0 {
+		t.Errorf("in the same window: got %d, want 0", got)
+	}
+	b.Retain(at(60), none)
+	if got := b.services.Len(); got != 0 {
+		t.Errorf("services long after: got %d, want 0", got)
+	}
+	if got := withdraw(60); got != 5 {
+		t.Errorf("in a later window: got %d, want 5", got)
+	}
+}
