allotter: give up parts when an instance stops following the routing

Cause: an instance in reserve learns of no routing, but its authority as an owner ended only 20 s after its last reading of the store, and it lent tokens by the limit that it had known. It now resigns when it returns to the reserve: it uses, lends and grants nothing and proposes no owners. When it serves again it needs an answer of the store that was asked for since.

--- a/allotter/faults_test.go
+++ b/allotter/faults_test.go
@@ -181,3 +181,37 @@
 		t.Logf("limit of %v a second: %.3f served in the first 3 s after callers moved, %.3f later", c.rate, soon, then)
 	}
 }
+
+// TestResignedOwnerLendsNothing guards against tokens that an instance in reserve lends by limits which may have changed since it stopped
+// following the routing; also if a call to the store from before that is answered late.
+func TestResignedOwnerLendsNothing(t *testing.T) {
+	l := newLoad(8, 46)
+	l.f.run(10*time.Second, true, func(time.Duration) {})
+	a := l.f.instances["i0"]
+	var hash uint32
+	for _, x := range a.accounts {
+		hash = x.hash
+	}
+	if _, ok := a.Lend(l.f.now, hash); !ok {
+		t.Fatal("an owner with tokens lent none")
+	}
+	a.Resign(l.f.now)
+	lends := func(when string, want bool) {
+		t.Helper()
+		if _, ok := a.Lend(l.f.now, hash); ok != want {
+			t.Errorf("%s: got lent %v, want %v", when, ok, want)
+		}
+	}
+	lends("resigned", false)
+	late := l.f.now
+	a.Confirm(l.f.now+time.Second, late)
+	l.f.now += 2 * time.Second
+	lends("after a late answer of the store", false)
+	a.Resume(l.f.now)
+	a.Confirm(l.f.now, late)
+	l.f.now += 2 * time.Second
+	lends("resumed, after an answer from before", false)
+	a.Confirm(l.f.now, l.f.now)
+	l.f.now += 2 * time.Second
+	lends("resumed and confirmed", true)
+}
--- a/allotter/owners.go
+++ b/allotter/owners.go
@@ -18,6 +18,9 @@
 	// confirmed is the last time at which the record was known to be current; hasConfirmed is set once there is one.
 	confirmed    time.Duration
 	hasConfirmed bool
+	// resigned says that this instance doesn't follow the routing, and resumed is when it last began to again.
+	resigned bool
+	resumed  time.Duration
 	// first says that this process saw the store without a record before the first one was written. Then no former process owned
 	// or used any part.
 	sawNone, first bool
@@ -54,11 +57,33 @@
 	return a.owners.record, now - a.owners.learned
 }
 
+// Resign gives up the parts that this instance owns until Resume: it no longer learns of changed limits, so it must neither use nor
+// lend nor grant anything by those that it knows.
+func (a *Allotter) Resign(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.updateAll(now, func() { a.owners.resigned, a.owners.hasConfirmed = true, false })
+}
+
+// Resume lets this instance use its parts again, once the state of the store is known as of now or later.
+func (a *Allotter) Resume(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.owners.resigned, a.owners.resumed = false, now
+}
+
+// Resigned reports whether this instance has given up its parts.
+func (a *Allotter) Resigned() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.owners.resigned
+}
+
 // Confirm records that the state of the store as of a time is known, with all its changes up to then.
 func (a *Allotter) Confirm(now, asOf time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.owners.hasConfirmed && asOf <= a.owners.confirmed {
+	if a.owners.resigned || asOf < a.owners.resumed || a.owners.hasConfirmed && asOf <= a.owners.confirmed {
 		return
 	}
 	a.owners.sawNone = a.owners.sawNone || a.owners.record == nil
--- a/allotter/random_test.go
+++ b/allotter/random_test.go
@@ -54,8 +54,7 @@
 func (d *adversary) start(name string) {
 	d.started++
 	if old := d.processes[name]; old != nil {
-		d.inForce[d.version[old]] = max(d.inForce[d.version[old]], d.now)
-		delete(d.version, old)
+		d.endVersion(old)
 	}
 	a := New(testConfig(name, d.started), d.now)
 	d.version[a] = len(d.limits) - 1
@@ -63,6 +62,26 @@
 	d.processes[name] = a
 }
 
+// endVersion records that a process doesn't apply its version of the limits any more.
+func (d *adversary) endVersion(a *Allotter) {
+	if v, ok := d.version[a]; ok {
+		d.inForce[v] = max(d.inForce[v], d.now)
+		delete(d.version, a)
+	}
+}
+
+// changeScope lets a process stop following the routing, or follow it again. Its limits don't count while it doesn't.
+func (d *adversary) changeScope() {
+	_, a := d.pick()
+	if !a.Resigned() {
+		d.endVersion(a)
+		a.Resign(d.now)
+		return
+	}
+	a.Resume(d.now)
+	d.adopt(a)
+}
+
 // pick draws an instance.
 func (d *adversary) pick() (string, *Allotter) {
 	name := rapid.SampledFrom(d.names).Draw(d.t, "instance")
@@ -125,6 +144,9 @@
 // ask lets an instance send the requests that are due.
 func (d *adversary) ask() {
 	name, a := d.pick()
+	if a.Resigned() {
+		return
+	}
 	for _, r := range a.Tick(d.now) {
 		d.messages = append(d.messages, message{from: name, to: r.To, process: a, request: r.Body})
 	}
@@ -167,6 +189,9 @@
 				d.setOwners(a, d.stored)
 			}
 			a.Confirm(d.now, d.now)
+			if a.Resigned() {
+				continue
+			}
 			for _, r := range a.Tick(d.now) {
 				a.Accept(d.now, r.To, d.processes[r.To].Answer(d.now, name, r.Body))
 			}
@@ -184,8 +209,13 @@
 }
 
 func (d *adversary) adoptLimits() {
-	_, a := d.pick()
-	d.inForce[d.version[a]] = max(d.inForce[d.version[a]], d.now)
+	if _, a := d.pick(); !a.Resigned() {
+		d.endVersion(a)
+		d.adopt(a)
+	}
+}
+
+func (d *adversary) adopt(a *Allotter) {
 	d.version[a] = len(d.limits) - 1
 	known := map[string]bool{}
 	for name := range a.accounts {
@@ -270,12 +300,25 @@
 	n := rapid.IntRange(1, 60).Draw(d.t, "requests")
 	which := rapid.IntRange(0, 1).Draw(d.t, "account")
 	limits := d.limits[d.version[a]][which]
-	if !limits.Limited() {
+	take := func() bool {
+		_, ok := a.Take(d.now, &limits)
+		return ok
+	}
+	if a.Resigned() {
+		// It has no callers, but others still ask it.
+		take = func() bool {
+			_, ok := a.Lend(d.now, a.accounts[limits.Name].hash)
+			return ok
+		}
+	} else if !limits.Limited() {
+		return
+	}
+	if a.accounts[limits.Name] == nil {
 		return
 	}
 	for range n {
 		before := a.accounts[limits.Name].fromOverdraft
-		if _, ok := a.Take(d.now, &limits); !ok {
+		if !take() {
 			continue
 		}
 		d.runs[limits.Name] = append(d.runs[limits.Name], d.now)
@@ -292,7 +335,7 @@
 
 // TestBoundHoldsUnderFaults guards against more requests in a window than the limit: by parts that two instances use at once,
 // tokens that count twice or owners that don't know of each other, under any order, delay, loss and repetition of messages,
-// with processes that are killed, frozen or cut from each other and from the store, changes of the owners and lower limits.
+// with processes that are killed, frozen, cut from each other and from the store or in reserve, changes of the owners and lower limits.
 func TestBoundHoldsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := &adversary{t: t, processes: map[string]*Allotter{}, version: map[*Allotter]int{}, runs: map[string][]time.Duration{}, undivided: map[string]float64{}, overdrafts: map[string][]time.Duration{}}
@@ -313,7 +356,7 @@
 		// In a third of the schedules, most steps are short, so that exchanges complete.
 		longest := rapid.SampledFrom([]int{150, 600, 9000}).Draw(t, "longest-pause-ms")
 		for range rapid.IntRange(100, 2000).Draw(t, "steps") {
-			switch rapid.IntRange(0, 24).Draw(t, "step") {
+			switch rapid.IntRange(0, 25).Draw(t, "step") {
 			case 0, 1, 2, 3:
 				d.now += time.Duration(rapid.IntRange(1, longest).Draw(t, "ms")) * time.Millisecond
 			case 4, 5, 6:
@@ -339,6 +382,8 @@
 				d.changeLimits()
 			case 23, 24:
 				d.adoptLimits()
+			case 25:
+				d.changeScope()
 			case 19:
 				// A long pause: all are frozen or cut off.
 				if rapid.IntRange(0, 3).Draw(t, "long") == 0 {
--- a/allotter/runner.go
+++ b/allotter/runner.go
@@ -63,6 +63,12 @@
 	}
 }
 
+// Resign gives up the parts that this instance owns, since it stops following the routing.
+func (r *Runner) Resign() { r.core.Resign(r.now()) }
+
+// Resume lets this instance use its parts again once it has read the store. It is called before the routing is followed again.
+func (r *Runner) Resume() { r.core.Resume(r.now()) }
+
 // SetAccounts sets the accounts of the routing in force.
 func (r *Runner) SetAccounts(list []carobbend.Account) { r.core.SetAccounts(r.now(), list) }
 
@@ -164,7 +170,7 @@
 	listed := false
 	var refusals refusalReport
 	for sleeper.Sleep(ctx, tickInterval) {
-		if !r.core.Limited() {
+		if !r.core.Limited() || r.core.Resigned() {
 			listed = false
 			continue
 		}
--- a/cmd/carobbend/forwardinstance.go
+++ b/cmd/carobbend/forwardinstance.go
@@ -380,6 +380,7 @@
 	x.log.Info("activated from reserve", "reason", reason, "enrolled", len(x.lastInstances))
 	x.activeSince = time.Now()
 	x.retired = false
+	x.allotments.Resume()
 	x.active.Store(true)
 	x.follower.SetScope(carobbend.ScopeAll)
 }
--- a/cmd/carobbend/retirement.go
+++ b/cmd/carobbend/retirement.go
@@ -38,6 +38,7 @@
 	x.retirement, x.retired = steerer.Retirement{}, true
 	x.requestsBefore = x.forwarder.Requests()
 	x.active.Store(false)
+	x.allotments.Resign()
 	x.retiring.Store(false)
 	x.selector.SetSelf(x.self, false)
 	x.relay.Invalidate()
