--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -43,8 +43,8 @@
 	// histMax is the maximum latency recorded; greater ones are clamped to it.
 	histMax    = 10 * time.Second
 	histDigits = 2
-	// maxHistograms bounds the indexes with a delay of their own, whose histograms take some 45 KB each.
-	maxHistograms = 256
+	// maxHistograms bounds the indexes with a delay of their own, whose histograms take some 90 KB each.
+	maxHistograms = 128
 )
 
 // Option configures a Hedger.
