tuner: bound the receive buffers of callers and upstreams

Cause: nothing bounded the kernel's receive buffers, 128 KB and more a connection, and the account of memory doesn't count them. They are set now: 16 KiB for callers, 64 KiB for upstreams.

Before the fix TestRequestsAheadAreBounded: got 175589 bytes taken, want at most 81920.

--- a/cmd/carobbend/forwardrun.go
+++ b/cmd/carobbend/forwardrun.go
@@ -19,6 +19,7 @@
 	"carobbend.example/carobbend/limiter"
 	"carobbend.example/carobbend/platform"
 	"carobbend.example/carobbend/settings"
+	"carobbend.example/carobbend/tuner"
 )
 
 const (
@@ -33,6 +34,9 @@
 	// the one after which the process exits even with requests in flight.
 	answerFraction = 0.88
 	exitFraction   = 0.94
+	// callerReceiveBuffer is the receive buffer of a caller's connection in bytes. It bounds what the kernel keeps of requests that are
+	// sent ahead; the longest head fits.
+	callerReceiveBuffer = 16 << 10
 	// closeTimeout bounds the wait for connections whose request was accepted just before the server closes.
 	closeTimeout = 200 * time.Millisecond
 	// drainPollInterval is the interval at which a draining instance checks for requests in flight.
@@ -67,11 +71,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var g oklogrun.Group
+	buffers := tuner.New(callerReceiveBuffer)
 	for _, s := range x.endpoints() {
 		srv := x.guard.Server(&http.Server{
 			Handler: s.handler, ConnContext: s.connContext, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardServerLog(),
 		})
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", s.address)
+		l, err := (&net.ListenConfig{Control: buffers.Control}).Listen(ctx, "tcp4", s.address)
 		if err != nil {
 			return err
 		}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"carobbend.example/carobbend"
+	"carobbend.example/carobbend/tuner"
 )
 
 // Headers are the names of headers that are exchanged with upstreams, in canonical form.
@@ -70,6 +71,9 @@
 	// idleMargin is subtracted from the upstream's Keep-Alive timeout, so that a request isn't sent while the upstream closes
 	// the connection.
 	idleMargin = 500 * time.Millisecond
+	// receiveBuffer is the receive buffer of a connection in bytes. It bounds what the kernel keeps of a long reply while its caller
+	// doesn't read; replies of shards are far shorter.
+	receiveBuffer = 64 << 10
 )
 
 // Option configures an Exchanger.
@@ -87,6 +91,8 @@
 	connectTimeout time.Duration
 	maxReply       int64
 
+	buffers *tuner.Buffers
+
 	opened atomic.Int64
 	open   atomic.Int64
 
@@ -97,7 +103,8 @@
 // New returns an exchanger without connections.
 func New(h Headers, opts ...Option) *Exchanger {
 	x := &Exchanger{
-		headers: h, connectTimeout: defaultConnectTimeout, maxReply: defaultMaxReply, pools: map[carobbend.UpstreamID]*pool{},
+		headers: h, connectTimeout: defaultConnectTimeout, maxReply: defaultMaxReply, buffers: tuner.New(receiveBuffer),
+		pools: map[carobbend.UpstreamID]*pool{},
 	}
 	for _, o := range opts {
 		o(x)
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -135,7 +135,7 @@
 func (p *pool) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.x.connectTimeout)
 	defer cancel()
-	d := net.Dialer{KeepAliveConfig: keepAlive}
+	d := net.Dialer{KeepAliveConfig: keepAlive, Control: p.x.buffers.Control}
 	nc, err := d.DialContext(ctx, "tcp4", p.address)
 	if err != nil {
 		return nil, err
