--- a/forwarder/callerleft_test.go
+++ b/forwarder/callerleft_test.go
@@ -15,11 +15,11 @@
 // sending direction while upstreams are at work; and against a refusal that says that nothing ran.
 func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
 	for _, c := range []struct {
-		path   string
-		routes []carobbend.Route
+		path  string
+		route carobbend.Route
 	}{
-		{"/o/1", []carobbend.Route{order(false)}},
-		{"/s/1", []carobbend.Route{search("a", "b")}},
+		{"/o/1", order(false)},
+		{"/s/1", search("a", "b")},
 	} {
 		tr := newTier(t)
 		running := make(chan struct{}, 10)
@@ -30,9 +30,7 @@
 				<-r.Context().Done()
 			})
 		}
-		for _, r := range c.routes {
-			tr.route(r)
-		}
+		tr.route(c.route)
 		nc, err := net.Dial("tcp4", tr.Listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
--- a/registrar/upstreams.go
+++ b/registrar/upstreams.go
@@ -136,18 +136,7 @@
 		return false
 	}
 	u.routingVersion = r.Version
-	clear(u.services)
-	for _, s := range r.Services {
-		u.services[s.Name] = true
-	}
-	for _, x := range r.Routes {
-		for _, s := range x.Shards {
-			u.services[s] = true
-		}
-		for _, s := range x.Split {
-			u.services[s.Service] = true
-		}
-	}
+	u.services = r.ServiceNames()
 	changed := false
 	for id, e := range u.unnamed {
 		if u.services[e.Service] && u.put(now, e) == "" {
--- a/routing.go
+++ b/routing.go
@@ -96,6 +96,23 @@
 	return !limited || len(common) > 0
 }
 
+// ServiceNames returns the names of the services that the routing lists or that its routes refer to.
+func (r *Routing) ServiceNames() map[string]bool {
+	names := make(map[string]bool, len(r.Services))
+	for i := range r.Services {
+		names[r.Services[i].Name] = true
+	}
+	for i := range r.Routes {
+		for _, s := range r.Routes[i].Shards {
+			names[s] = true
+		}
+		for _, s := range r.Routes[i].Split {
+			names[s.Service] = true
+		}
+	}
+	return names
+}
+
 // WeightedService is one service of a split.
 type WeightedService struct {
 	Service string
